--- /dev/null
+++ b/crates/claims/src/ledger.rs
@@ -0,0 +1,187 @@
+//! The state of every key, reduced from the log in its order.
+
+use std::collections::{BTreeMap, HashMap};
+
+use baobabvane_domain::{Answer, Claim, Entry, Incarnation, Outcome, RequestKey, Verdict};
+use serde::{Deserialize, Serialize};
+
+use crate::age::issued_at_ms;
+
+/// Who wrote a claim; no two claims have the same owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// The process.
+    pub incarnation: Incarnation,
+    /// Which of its claims.
+    pub attempt: u64,
+}
+
+/// What the log says of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyState {
+    /// The owner may dispatch, or has; nobody else ever may.
+    Claimed {
+        /// Whose claim was first.
+        owner: Owner,
+        /// The hash of the request's body.
+        body_hash: u64,
+    },
+    /// The owner told how the request ended.
+    Ended {
+        /// Whose claim was first.
+        owner: Owner,
+        /// The hash of the request's body.
+        body_hash: u64,
+        /// `Ran` or `MayHaveRun`.
+        verdict: Verdict,
+        /// The answer, where it was kept.
+        answer: Option<Answer>,
+    },
+}
+
+impl KeyState {
+    /// Returns whose claim was first.
+    pub fn owner(&self) -> Owner {
+        match self {
+            Self::Claimed { owner, .. } | Self::Ended { owner, .. } => *owner,
+        }
+    }
+
+    /// Returns the hash of the body of the request that was claimed.
+    pub fn body_hash(&self) -> u64 {
+        match self {
+            Self::Claimed { body_hash, .. } | Self::Ended { body_hash, .. } => *body_hash,
+        }
+    }
+}
+
+/// All keys that the log still speaks of.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    keys: HashMap<RequestKey, KeyState>,
+    by_issue: BTreeMap<u64, Vec<RequestKey>>,
+}
+
+impl Ledger {
+    /// Applies the next entry of the log.
+    pub fn apply(&mut self, entry: &Entry) {
+        match entry {
+            Entry::Claim(claim) => self.apply_claim(claim),
+            Entry::Outcome(outcome) => self.apply_outcome(outcome),
+            _ => {}
+        }
+    }
+
+    /// Returns what the log says of a key; `None` when nobody holds it.
+    pub fn get(&self, key: &RequestKey) -> Option<&KeyState> {
+        self.keys.get(key)
+    }
+
+    /// Returns how many keys are held in memory.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Says whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Forgets keys that were issued before a time.
+    ///
+    /// Such keys must be refused before the ledger is asked; see
+    /// [`crate::KeyPolicy`].
+    pub fn forget_before(&mut self, issued_ms: u64) {
+        while let Some(entry) = self.by_issue.first_entry() {
+            if *entry.key() >= issued_ms {
+                return;
+            }
+            for key in entry.remove() {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    fn apply_claim(&mut self, claim: &Claim) {
+        if self.keys.contains_key(&claim.key) {
+            return;
+        }
+        let owner = Owner { incarnation: claim.incarnation, attempt: claim.attempt };
+        let state = KeyState::Claimed { owner, body_hash: claim.body_hash };
+        let issued = issued_at_ms(claim.key.key);
+        self.by_issue.entry(issued).or_default().push(claim.key.clone());
+        self.keys.insert(claim.key.clone(), state);
+    }
+
+    fn apply_outcome(&mut self, outcome: &Outcome) {
+        let owner = Owner { incarnation: outcome.incarnation, attempt: outcome.attempt };
+        let Some(state) = self.keys.get_mut(&outcome.key) else { return };
+        let KeyState::Claimed { owner: winner, body_hash } = *state else { return };
+        if winner != owner {
+            return;
+        }
+        if outcome.verdict == Verdict::NotRun {
+            self.release(&outcome.key);
+            return;
+        }
+        *state = KeyState::Ended {
+            owner,
+            body_hash,
+            verdict: outcome.verdict,
+            answer: outcome.answer.clone(),
+        };
+    }
+
+    fn release(&mut self, key: &RequestKey) {
+        self.keys.remove(key);
+        let issued = issued_at_ms(key.key);
+        if let Some(keys) = self.by_issue.get_mut(&issued) {
+            keys.retain(|k| k != key);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use baobabvane_domain::Uuid;
+
+    use super::*;
+
+    fn key() -> RequestKey {
+        RequestKey {
+            organisation: "menders".to_owned(),
+            kind: "booking".to_owned(),
+            key: Uuid::from_u128(0x0199_0000_0000_7000_8000_0000_0000_0001),
+        }
+    }
+
+    fn claim(process: u128, attempt: u64) -> Entry {
+        let incarnation = Incarnation(Uuid::from_u128(process));
+        Entry::Claim(Claim { key: key(), incarnation, attempt, body_hash: 7 })
+    }
+
+    fn outcome(process: u128, attempt: u64, verdict: Verdict) -> Entry {
+        let incarnation = Incarnation(Uuid::from_u128(process));
+        Entry::Outcome(Outcome { key: key(), incarnation, attempt, verdict, answer: None })
+    }
+
+    #[test]
+    fn the_first_claim_wins_for_ever() {
+        let mut ledger = Ledger::default();
+        ledger.apply(&claim(1, 1));
+        ledger.apply(&claim(2, 1));
+        ledger.apply(&outcome(2, 1, Verdict::NotRun));
+        assert_eq!(ledger.get(&key()).unwrap().owner().incarnation.0.as_u128(), 1);
+    }
+
+    #[test]
+    fn a_released_key_can_be_claimed_again_but_not_by_an_earlier_claim() {
+        let mut ledger = Ledger::default();
+        ledger.apply(&claim(1, 1));
+        ledger.apply(&claim(2, 1));
+        ledger.apply(&outcome(1, 1, Verdict::NotRun));
+        assert!(ledger.get(&key()).is_none());
+        ledger.apply(&claim(3, 1));
+        assert_eq!(ledger.get(&key()).unwrap().owner().incarnation.0.as_u128(), 3);
+    }
+}
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,13 @@
+//! At most once: which claim of a key wins, as a function of the log's order.
+//!
+//! An instance appends a claim before the first byte goes to an endpoint, reads
+//! the log up to it, and dispatches only when its claim was the first of the
+//! key. No claim is handed over, so that neither a pause nor a lapsed lease can
+//! double a dispatch. [`Ledger`] is that function; [`KeyAge`] says for which
+//! keys the log still knows enough. See [at most once](../../../docs/claims.md).
+
+mod age;
+mod ledger;
+
+pub use age::{KeyAge, KeyPolicy, issue_key, issued_at_ms, issuer_tag};
+pub use ledger::{KeyState, Ledger, Owner};
--- /dev/null
+++ b/crates/decide/src/budget.rs
@@ -0,0 +1,31 @@
+//! Bounds repeats, so that failures cannot multiply load.
+
+/// Repeats allowed for each first dispatch.
+const RETRIES_PER_REQUEST: f64 = 0.1;
+/// Repeats that may come at once.
+const MAX_SAVED_RETRIES: f64 = 10.0;
+
+/// A bucket that first dispatches fill and repeats empty.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryBudget {
+    saved: f64,
+}
+
+impl RetryBudget {
+    pub(crate) fn new() -> Self {
+        Self { saved: MAX_SAVED_RETRIES }
+    }
+
+    pub(crate) fn earn(&mut self) {
+        self.saved = (self.saved + RETRIES_PER_REQUEST).min(MAX_SAVED_RETRIES);
+    }
+
+    /// Takes one repeat; false when the budget is spent.
+    pub(crate) fn spend(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/decide/src/core.rs
@@ -0,0 +1,536 @@
+//! The core itself: takes events, keeps the pool's state, hands out actions.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use slotmap::SecondaryMap;
+use smallvec::SmallVec;
+
+use crate::{
+    budget::RetryBudget,
+    choose::{Chooser, Draw, Placed},
+    endpoint::{Endpoint, Sent},
+    event::{
+        Action, Descriptor, Ending, EndpointKey, EndpointSpec, Event, KindId, Millis, OrgId, Rank,
+        Refusal, Ticket, Why,
+    },
+    learn::{Average, Rate},
+    policy::{Placement, Policy},
+    prefix::PrefixIndex,
+    queue::{Queue, Waiting},
+    shed::{Pool, Shedder},
+};
+
+/// Requests that an engine writes side by side share the time of a decode step.
+const DECODE_BATCH: f64 = 8.0;
+/// Answers are often shorter than the average; a request is late only when even
+/// this share of the expected answer could not be written in time.
+const SHORT_ANSWER: f64 = 0.5;
+const CAPACITY_WINDOW_MS: Millis = 2_000.0;
+const FLOOR_WINDOW_MS: Millis = 5_000.0;
+/// What little use of the pool says of its capacity under load.
+const IDLE_CAPACITY_SHARE: f64 = 0.5;
+/// Time over which the slots that more urgent work uses are averaged.
+const DEMAND_WINDOW_MS: Millis = 5_000.0;
+const HEADROOM_FACTOR: f64 = 1.3;
+const HEADROOM_SLOTS: f64 = 1.0;
+
+/// Numbers for metrics and status.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests at endpoints.
+    pub in_flight: u32,
+    /// Requests that endpoints may have in flight now.
+    pub room: u32,
+    /// Endpoints whose breaker is open.
+    pub open_breakers: u32,
+}
+
+/// A dispatched request.
+#[derive(Clone, Debug)]
+struct Flight {
+    endpoint: EndpointKey,
+    rank: Rank,
+    org: OrgId,
+    weight: u32,
+    kind: KindId,
+    prompt_tokens: u32,
+    cost: f64,
+    sent: Sent,
+}
+
+/// How many slots a tier uses, averaged over time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    now: u32,
+    mean: f64,
+    at: Millis,
+}
+
+impl Demand {
+    fn change(&mut self, now: Millis, difference: i32) {
+        self.settle(now);
+        self.now = self.now.saturating_add_signed(difference);
+    }
+
+    fn settle(&mut self, now: Millis) {
+        let step = 1.0 - (-(now - self.at).max(0.0) / DEMAND_WINDOW_MS).exp();
+        self.mean += (f64::from(self.now) - self.mean) * step;
+        self.at = now;
+    }
+
+    /// Returns how many more slots should stay free for the tier.
+    fn unused(&self) -> f64 {
+        if self.mean < 0.01 {
+            return 0.0;
+        }
+        (self.mean * HEADROOM_FACTOR + HEADROOM_SLOTS - f64::from(self.now)).max(0.0)
+    }
+}
+
+/// Decides for one pool; see the crate's documentation.
+#[derive(Debug)]
+pub struct Core {
+    policy: Policy,
+    now: Millis,
+    endpoints: SecondaryMap<EndpointKey, Endpoint>,
+    prefixes: PrefixIndex,
+    queue: Queue,
+    flights: HashMap<Ticket, Flight>,
+    shedder: Shedder,
+    budget: RetryBudget,
+    draw: Draw,
+    answers: HashMap<KindId, Average>,
+    base_ms: Average,
+    prefill_ms: Average,
+    decode_ms: Average,
+    cost_per_slot_ms: Average,
+    dispatched: Rate,
+    dispatched_by_tier: Vec<Rate>,
+    demand: Vec<Demand>,
+    neighbour_room: u32,
+    actions: VecDeque<Action>,
+}
+
+impl Core {
+    /// Makes a core without endpoints.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            now: 0.0,
+            endpoints: SecondaryMap::new(),
+            prefixes: PrefixIndex::default(),
+            queue: Queue::new(policy.fair_share),
+            flights: HashMap::new(),
+            shedder: Shedder::default(),
+            budget: RetryBudget::new(),
+            draw: Draw::new(policy.seed),
+            answers: HashMap::new(),
+            base_ms: Average::new(20.0, 0.05),
+            prefill_ms: Average::new(0.2, 0.05),
+            decode_ms: Average::new(25.0, 0.05),
+            cost_per_slot_ms: Average::new(1.0, 0.02),
+            dispatched: Rate::new(CAPACITY_WINDOW_MS),
+            dispatched_by_tier: Vec::new(),
+            demand: Vec::new(),
+            neighbour_room: 0,
+            actions: VecDeque::new(),
+            policy,
+        }
+    }
+
+    /// Takes an event; time may not run backwards.
+    pub fn handle(&mut self, now: Millis, event: Event) {
+        self.now = now.max(self.now);
+        match event {
+            Event::Offer(ticket, req) => self.offer(ticket, req),
+            Event::Withdraw(ticket) => drop(self.queue.remove(ticket)),
+            Event::FirstToken(ticket) => self.first_token(ticket),
+            Event::End(ticket, ending) => self.end(ticket, ending),
+            Event::EndpointJoined(key, spec) => self.joined(key, &spec),
+            Event::EndpointLeaving(key) => self.leaving(key),
+            Event::EndpointGone(key) => self.gone(key),
+            Event::Reported(key, report) => {
+                if let Some(endpoint) = self.endpoints.get_mut(key) {
+                    endpoint.report(self.now, report);
+                }
+            }
+            Event::CacheStored(key, blocks) => self.prefixes.store(key, &blocks),
+            Event::CacheDropped(key, blocks) => self.prefixes.drop_blocks(key, &blocks),
+            Event::NeighbourRoom(room) => self.neighbour_room = room,
+            Event::Tick => self.open_silent(),
+        }
+        self.pump();
+    }
+
+    /// Returns the next thing that the driver has to do.
+    pub fn next_action(&mut self) -> Option<Action> {
+        self.actions.pop_front()
+    }
+
+    /// Says whether the request still waits.
+    pub fn is_waiting(&self, ticket: Ticket) -> bool {
+        self.queue.get(ticket).is_some()
+    }
+
+    /// Says whether the endpoint's breaker keeps work from it.
+    pub fn is_open(&self, key: EndpointKey) -> bool {
+        self.endpoints.get(key).is_some_and(|e| e.breaker.is_open())
+    }
+
+    /// Returns how many requests of a tier wait, and how many of less urgent ones.
+    pub fn waiting(&self, rank: Rank) -> (u32, u32) {
+        (self.queue.tier_len(rank), self.queue.len_below(rank))
+    }
+
+    /// Returns numbers for metrics and status.
+    pub fn counts(&self) -> Counts {
+        let open = self.endpoints.values().filter(|e| e.breaker.is_open()).count();
+        Counts {
+            waiting: self.queue.len() as u32,
+            in_flight: self.flights.len() as u32,
+            room: self.room(),
+            open_breakers: open as u32,
+        }
+    }
+
+    fn offer(&mut self, ticket: Ticket, req: Descriptor) {
+        let rank = req.rank;
+        self.shedder.offered(rank, req.deadline - self.now);
+        let waiting = self.estimate(req);
+        if !self.endpoints.values().any(|e| !e.leaving) {
+            return self.refuse(ticket, rank, self.now, Refusal::NoEndpoint);
+        }
+        if !self.policy.queueing {
+            return self.place_at_once(ticket, waiting);
+        }
+        if waiting.descriptor.retry && !self.budget.spend() {
+            return self.refuse(ticket, rank, self.now, Refusal::RetryBudget);
+        }
+        if self.policy.drop_late && waiting.latest_start < self.now {
+            return self.refuse(ticket, rank, self.now, Refusal::Late);
+        }
+        if self.policy.shedding && self.shedder.bars(rank) {
+            return self.yield_load(ticket, rank, self.now);
+        }
+        self.queue.push(ticket, waiting);
+    }
+
+    fn estimate(&self, req: Descriptor) -> Waiting {
+        let answer = self.answer_tokens(&req);
+        let prefill = f64::from(req.prompt_tokens) * self.prefill_ms.get();
+        let base = self.base_ms.get();
+        let write = answer * self.decode_ms.get();
+        let cost = base + prefill + write / DECODE_BATCH;
+        // A cached prefix may save nearly all of the reading.
+        let read = if req.prefix.is_empty() { prefill } else { 0.0 };
+        let latest_start = req.deadline - base - read - write * SHORT_ANSWER;
+        Waiting { descriptor: req, since: self.now, cost, latest_start }
+    }
+
+    fn answer_tokens(&self, req: &Descriptor) -> f64 {
+        match self.answers.get(&req.kind) {
+            Some(learned) if learned.is_learned() => learned.get(),
+            _ => f64::from(req.answer_tokens),
+        }
+    }
+
+    fn pump(&mut self) {
+        if !self.policy.queueing {
+            return;
+        }
+        self.drop_late();
+        while self.queue.len() > 0 && self.dispatch_one() {}
+        self.shed();
+    }
+
+    fn drop_late(&mut self) {
+        if !self.policy.drop_late {
+            return;
+        }
+        while let Some(ticket) = self.queue.first_late(self.now) {
+            let Some(waiting) = self.queue.remove(ticket) else { return };
+            self.refuse(ticket, waiting.descriptor.rank, waiting.since, Refusal::Late);
+        }
+    }
+
+    /// Dispatches the request whose turn it is; false when none can go.
+    fn dispatch_one(&mut self) -> bool {
+        let in_flight = self.flights.len() as u32;
+        if self.room() <= in_flight {
+            return false;
+        }
+        for (rank, by_floor) in self.turns() {
+            if !by_floor && !self.has_headroom(rank, in_flight) {
+                continue;
+            }
+            if self.dispatch_head(rank) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Lists the tiers in the order of their turns, those below their floor first.
+    fn turns(&self) -> SmallVec<[(Rank, bool); 8]> {
+        let mut turns = SmallVec::new();
+        let ranks: SmallVec<[Rank; 8]> = self.queue.ranks().collect();
+        if self.policy.floors {
+            let starved = ranks.iter().skip(1).filter(|r| self.is_starved(**r));
+            turns.extend(starved.map(|r| (*r, true)));
+        }
+        turns.extend(ranks.iter().map(|r| (*r, false)));
+        turns
+    }
+
+    /// Says whether a tier got less than its floor while more urgent work waits.
+    fn is_starved(&self, rank: Rank) -> bool {
+        let all = self.dispatched_by_tier.iter().map(|r| r.total(self.now)).sum::<f64>();
+        let own = self.dispatched_by_tier.get(usize::from(rank)).map_or(0.0, |r| r.total(self.now));
+        own < all * self.policy.floor(rank)
+    }
+
+    /// Says whether slots are left beside those that more urgent tiers will need.
+    fn has_headroom(&self, rank: Rank, in_flight: u32) -> bool {
+        if !self.policy.headroom || rank == 0 {
+            return true;
+        }
+        let above = usize::from(rank).min(self.demand.len());
+        let kept: f64 = self.demand[..above].iter().map(Demand::unused).sum();
+        // One slot in two stays usable, so that a small pool is never blocked.
+        let kept = kept.min(f64::from(self.room()) / 2.0);
+        f64::from(in_flight) + kept < f64::from(self.room())
+    }
+
+    fn dispatch_head(&mut self, rank: Rank) -> bool {
+        let Some(ticket) = self.queue.head(rank) else { return false };
+        let Some(waiting) = self.queue.get(ticket) else { return false };
+        let answer = self.answer_tokens(&waiting.descriptor);
+        let Some(placed) = self.chooser().choose(&waiting.descriptor, answer) else { return false };
+        let Some(waiting) = self.queue.dispatch(ticket) else { return false };
+        self.send(ticket, waiting, placed);
+        true
+    }
+
+    fn place_at_once(&mut self, ticket: Ticket, waiting: Waiting) {
+        let mut draw = std::mem::replace(&mut self.draw, Draw::new(0));
+        let placed = self.chooser().baseline(&waiting.descriptor, &mut draw);
+        self.draw = draw;
+        match placed {
+            Some(placed) => self.send(ticket, waiting, placed),
+            None => self.refuse(ticket, waiting.descriptor.rank, self.now, Refusal::NoEndpoint),
+        }
+    }
+
+    fn chooser(&self) -> Chooser<'_> {
+        Chooser {
+            policy: &self.policy,
+            endpoints: &self.endpoints,
+            prefixes: &self.prefixes,
+            now: self.now,
+        }
+    }
+
+    fn send(&mut self, ticket: Ticket, waiting: Waiting, placed: Placed) {
+        let why = self.why(waiting.descriptor.rank, waiting.since);
+        let Waiting { descriptor: req, cost, .. } = waiting;
+        let key = placed.choice.endpoint;
+        let sent = self.endpoints[key].send(self.now, placed.unread_tokens, placed.is_long);
+        self.prefixes.store(key, &req.prefix);
+        let now = self.now;
+        self.dispatched.add(now, cost);
+        self.tier_rate(req.rank).add(now, cost);
+        self.tier_demand(req.rank).change(now, 1);
+        if !req.retry {
+            self.budget.earn();
+        }
+        let flight = Flight {
+            endpoint: key,
+            rank: req.rank,
+            org: req.org,
+            weight: req.weight,
+            kind: req.kind,
+            prompt_tokens: req.prompt_tokens,
+            cost,
+            sent,
+        };
+        self.flights.insert(ticket, flight);
+        self.actions.push_back(Action::Dispatch(ticket, placed.choice, why));
+    }
+
+    fn shed(&mut self) {
+        if !self.policy.shedding {
+            return;
+        }
+        let mut shedder = std::mem::take(&mut self.shedder);
+        while let Some(ticket) = self.next_victim(&mut shedder) {
+            let Some(waiting) = self.queue.remove(ticket) else { break };
+            self.yield_load(ticket, waiting.descriptor.rank, waiting.since);
+        }
+        self.shedder = shedder;
+    }
+
+    fn next_victim(&self, shedder: &mut Shedder) -> Option<Ticket> {
+        if self.queue.len() == 0 {
+            return None;
+        }
+        self.with_pool(|pool| shedder.next(pool))
+    }
+
+    fn with_pool<T>(&self, f: impl FnOnce(&Pool<'_>) -> T) -> T {
+        let floor = |rank| self.policy.floor(rank);
+        f(&Pool { queue: &self.queue, capacity: self.capacity(), floor: &floor, now: self.now })
+    }
+
+    /// Estimates the engine time that the pool works off in a millisecond.
+    fn capacity(&self) -> f64 {
+        let by_slots = f64::from(self.room()) * self.cost_per_slot_ms.get() * IDLE_CAPACITY_SHARE;
+        self.dispatched.per_ms(self.now).max(by_slots)
+    }
+
+    /// Hands a request to a neighbour that has room, or refuses it for load.
+    fn yield_load(&mut self, ticket: Ticket, rank: Rank, since: Millis) {
+        if self.neighbour_room == 0 {
+            return self.refuse(ticket, rank, since, Refusal::Load);
+        }
+        self.neighbour_room -= 1;
+        let why = self.why(rank, since);
+        self.actions.push_back(Action::Spill(ticket, why));
+    }
+
+    fn refuse(&mut self, ticket: Ticket, rank: Rank, since: Millis, refusal: Refusal) {
+        let why = self.why(rank, since);
+        self.actions.push_back(Action::Refuse(ticket, refusal, why));
+    }
+
+    fn why(&self, rank: Rank, since: Millis) -> Why {
+        Why {
+            waited_ms: self.now - since,
+            waiting_in_tier: self.queue.tier_len(rank),
+            waiting_below: self.queue.len_below(rank),
+            tier_wait_ms: self.with_pool(|pool| Shedder::wait(pool, rank)),
+            in_flight: self.flights.len() as u32,
+            room: self.room(),
+        }
+    }
+
+    fn room(&self) -> u32 {
+        self.endpoints.values().filter(|e| !e.leaving).map(|e| e.room(self.now)).sum()
+    }
+
+    fn first_token(&mut self, ticket: Ticket) {
+        let Some(flight) = self.flights.get_mut(&ticket) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        endpoint.first_token(self.now, &mut flight.sent);
+        self.base_ms.add(endpoint.base_ms());
+        self.prefill_ms.add(endpoint.prefill_ms());
+    }
+
+    fn end(&mut self, ticket: Ticket, ending: Ending) {
+        let Some(flight) = self.flights.remove(&ticket) else { return };
+        let now = self.now;
+        self.tier_demand(flight.rank).change(now, -1);
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        match ending {
+            Ending::Whole { answer_tokens } => {
+                endpoint.finish(self.now, &flight.sent, answer_tokens);
+                self.decode_ms.add(endpoint.decode_ms());
+                self.learn_whole(&flight, answer_tokens);
+            }
+            Ending::Failed => {
+                endpoint.release(&flight.sent);
+                if self.policy.breaker {
+                    endpoint.breaker.failed(self.now);
+                }
+            }
+            Ending::Lost | Ending::Cancelled => {
+                endpoint.release(&flight.sent);
+                endpoint.breaker.probe_ended();
+            }
+        }
+    }
+
+    fn learn_whole(&mut self, flight: &Flight, answer_tokens: u32) {
+        let tokens = f64::from(answer_tokens);
+        self.answers.entry(flight.kind).or_insert_with(|| Average::new(tokens, 0.05)).add(tokens);
+        let read = f64::from(flight.prompt_tokens) * self.prefill_ms.get();
+        let cost = self.base_ms.get() + read + tokens * self.decode_ms.get() / DECODE_BATCH;
+        let duration = (self.now - flight.sent.at).max(1.0);
+        self.cost_per_slot_ms.add(cost / duration);
+        self.queue.correct(flight.rank, flight.org, flight.weight, cost - flight.cost);
+    }
+
+    fn joined(&mut self, key: EndpointKey, spec: &EndpointSpec) {
+        self.prefixes.set_capacity(key, spec.cache_blocks);
+        match self.endpoints.get_mut(key) {
+            Some(endpoint) => endpoint.update(spec),
+            None => {
+                let endpoint = Endpoint::new(spec, self.policy.adaptive_limit, self.now);
+                self.endpoints.insert(key, endpoint);
+            }
+        }
+    }
+
+    fn leaving(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.leaving = true;
+        }
+        self.refuse_all_without_endpoint();
+    }
+
+    fn gone(&mut self, key: EndpointKey) {
+        self.endpoints.remove(key);
+        self.prefixes.forget(key);
+        self.refuse_all_without_endpoint();
+    }
+
+    /// Refuses what waits once no endpoint can serve it, least urgent first.
+    fn refuse_all_without_endpoint(&mut self) {
+        if self.endpoints.values().any(|e| !e.leaving) {
+            return;
+        }
+        loop {
+            let Some(rank) = self.queue.ranks().next_back() else { return };
+            let Some(ticket) = self.queue.victim(rank) else { return };
+            let Some(waiting) = self.queue.remove(ticket) else { return };
+            self.refuse(ticket, rank, waiting.since, Refusal::NoEndpoint);
+        }
+    }
+
+    fn open_silent(&mut self) {
+        for demand in &mut self.demand {
+            demand.settle(self.now);
+        }
+        if !self.policy.breaker {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut().filter(|e| e.is_silent(self.now)) {
+            endpoint.breaker.open(self.now);
+            endpoint.hear(self.now);
+        }
+    }
+
+    fn tier_rate(&mut self, rank: Rank) -> &mut Rate {
+        let index = usize::from(rank);
+        while self.dispatched_by_tier.len() <= index {
+            self.dispatched_by_tier.push(Rate::new(FLOOR_WINDOW_MS));
+        }
+        &mut self.dispatched_by_tier[index]
+    }
+
+    fn tier_demand(&mut self, rank: Rank) -> &mut Demand {
+        let index = usize::from(rank);
+        if self.demand.len() <= index {
+            self.demand.resize(index + 1, Demand::default());
+        }
+        &mut self.demand[index]
+    }
+}
+
+impl Policy {
+    /// Returns a baseline of the bench: no queue, only a choice of endpoint.
+    pub fn baseline(placement: Placement) -> Self {
+        Self { placement, queueing: false, ..Self::default() }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/endpoint.rs
@@ -0,0 +1,245 @@
+//! What the core knows and expects of one endpoint.
+
+use crate::{
+    breaker::Breaker,
+    event::{EndpointSpec, Millis, Report},
+    learn::Average,
+    limit::Limit,
+};
+
+/// Time to the first token that does not depend on the prompt, before any is learned.
+const PRIOR_BASE_MS: Millis = 20.0;
+/// Time to read a token of the prompt, before any is learned.
+const PRIOR_PREFILL_MS: Millis = 0.2;
+/// Time to write a token of the answer, before any is learned.
+const PRIOR_DECODE_MS: Millis = 25.0;
+/// Prompts with fewer unread tokens teach the base time, longer ones the reading speed.
+const SHORT_PROMPT_TOKENS: u32 = 200;
+/// Answers with fewer tokens say little on the writing speed.
+const MIN_DECODE_SAMPLE_TOKENS: u32 = 4;
+const LEARN_STEP: f64 = 0.1;
+/// A silent endpoint is given this long on top of what it was expected to need.
+const SILENCE_MS: Millis = 5_000.0;
+const SILENCE_FACTOR: f64 = 4.0;
+/// Reports are compared with our own peak of the last one to two of these.
+const PEAK_WINDOW_MS: Millis = 10_000.0;
+/// A report's word on others' requests halves in this time.
+const REPORT_HALF_LIFE_MS: Millis = 5_000.0;
+
+/// A request at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    pub(crate) at: Millis,
+    pub(crate) expected_ms: Millis,
+    pub(crate) unread_tokens: u32,
+    pub(crate) ahead_tokens: u32,
+    pub(crate) is_long: bool,
+    pub(crate) first_token_at: Option<Millis>,
+}
+
+/// State and estimates of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) leaving: bool,
+    pub(crate) breaker: Breaker,
+    limit: Limit,
+    adaptive: bool,
+    slots: u32,
+    in_flight: u32,
+    unread_tokens: u32,
+    long_prefills: u32,
+    base_ms: Average,
+    prefill_ms: Average,
+    decode_ms: Average,
+    heard_at: Millis,
+    reported: u32,
+    foreign: f64,
+    foreign_at: Millis,
+    peaks: Peaks,
+}
+
+/// The most requests that we had in flight lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peaks {
+    current: u32,
+    previous: u32,
+    started: Millis,
+}
+
+impl Peaks {
+    fn note(&mut self, now: Millis, in_flight: u32) {
+        if now - self.started > PEAK_WINDOW_MS {
+            self.previous = self.current;
+            self.current = 0;
+            self.started = now;
+        }
+        self.current = self.current.max(in_flight);
+    }
+
+    fn max(&self) -> u32 {
+        self.current.max(self.previous)
+    }
+}
+
+impl Endpoint {
+    pub(crate) fn new(spec: &EndpointSpec, adaptive: bool, now: Millis) -> Self {
+        Self {
+            leaving: false,
+            breaker: Breaker::new(),
+            limit: Limit::new(spec.slots),
+            adaptive,
+            slots: spec.slots,
+            in_flight: 0,
+            unread_tokens: 0,
+            long_prefills: 0,
+            base_ms: Average::new(PRIOR_BASE_MS, LEARN_STEP),
+            prefill_ms: Average::new(PRIOR_PREFILL_MS, LEARN_STEP),
+            decode_ms: Average::new(PRIOR_DECODE_MS, LEARN_STEP),
+            heard_at: now,
+            reported: 0,
+            foreign: 0.0,
+            foreign_at: now,
+            peaks: Peaks::default(),
+        }
+    }
+
+    pub(crate) fn update(&mut self, spec: &EndpointSpec) {
+        self.leaving = false;
+        self.slots = spec.slots;
+        self.limit.set_max(spec.slots);
+    }
+
+    /// Returns how many more requests may be sent now.
+    pub(crate) fn free(&self, now: Millis) -> u32 {
+        if self.leaving || !self.breaker.allows(now) {
+            return 0;
+        }
+        let free = self.room(now).saturating_sub(self.in_flight);
+        if self.breaker.is_open() { free.min(1) } else { free }
+    }
+
+    /// Returns how many of our requests may be in flight.
+    pub(crate) fn room(&self, now: Millis) -> u32 {
+        if self.leaving {
+            return 0;
+        }
+        let limit = if self.adaptive { self.limit.get() } else { self.slots };
+        let age = now - self.foreign_at;
+        let foreign = self.foreign * (-age / REPORT_HALF_LIFE_MS).exp2();
+        limit.saturating_sub(foreign.round() as u32).max(1)
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the requests in the endpoint by its last report.
+    pub(crate) fn reported(&self) -> u32 {
+        self.reported
+    }
+
+    pub(crate) fn has_long_prefill(&self) -> bool {
+        self.long_prefills > 0
+    }
+
+    /// Estimates the time to the first token of a prompt with unread tokens.
+    pub(crate) fn first_token_ms(&self, unread_tokens: u32) -> Millis {
+        let tokens = f64::from(self.unread_tokens) + f64::from(unread_tokens);
+        self.base_ms.get() + tokens * self.prefill_ms.get()
+    }
+
+    pub(crate) fn prefill_ms(&self) -> Millis {
+        self.prefill_ms.get()
+    }
+
+    pub(crate) fn decode_ms(&self) -> Millis {
+        self.decode_ms.get()
+    }
+
+    pub(crate) fn base_ms(&self) -> Millis {
+        self.base_ms.get()
+    }
+
+    pub(crate) fn send(&mut self, now: Millis, unread_tokens: u32, is_long: bool) -> Sent {
+        let sent = Sent {
+            at: now,
+            expected_ms: self.first_token_ms(unread_tokens),
+            unread_tokens,
+            ahead_tokens: self.unread_tokens,
+            is_long,
+            first_token_at: None,
+        };
+        if self.in_flight == 0 {
+            self.heard_at = now;
+        }
+        self.in_flight += 1;
+        self.unread_tokens += unread_tokens;
+        self.long_prefills += u32::from(is_long);
+        self.peaks.note(now, self.in_flight);
+        self.breaker.sent();
+        sent
+    }
+
+    pub(crate) fn first_token(&mut self, now: Millis, sent: &mut Sent) {
+        if sent.first_token_at.is_some() {
+            return;
+        }
+        sent.first_token_at = Some(now);
+        self.finish_prefill(sent);
+        self.heard_at = now;
+        self.breaker.succeeded();
+        let seen = now - sent.at;
+        self.limit.observe(now, sent.expected_ms, seen, self.in_flight);
+        self.learn_first_token(sent, seen);
+    }
+
+    pub(crate) fn finish(&mut self, now: Millis, sent: &Sent, answer_tokens: u32) {
+        self.release(sent);
+        self.heard_at = now;
+        self.breaker.succeeded();
+        let Some(first) = sent.first_token_at else { return };
+        if answer_tokens >= MIN_DECODE_SAMPLE_TOKENS {
+            self.decode_ms.add((now - first) / f64::from(answer_tokens));
+        }
+    }
+
+    /// Takes back a request that ended without a whole answer.
+    pub(crate) fn release(&mut self, sent: &Sent) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if sent.first_token_at.is_none() {
+            self.finish_prefill(sent);
+        }
+    }
+
+    pub(crate) fn report(&mut self, now: Millis, report: Report) {
+        self.reported = report.requests;
+        self.foreign = f64::from(report.requests.saturating_sub(self.peaks.max()));
+        self.foreign_at = now - report.age_ms;
+    }
+
+    /// Says whether the endpoint holds requests and has said nothing for too long.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        let expected = self.first_token_ms(0);
+        self.in_flight > 0 && now - self.heard_at > SILENCE_MS + SILENCE_FACTOR * expected
+    }
+
+    pub(crate) fn hear(&mut self, now: Millis) {
+        self.heard_at = now;
+    }
+
+    fn finish_prefill(&mut self, sent: &Sent) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(sent.unread_tokens);
+        self.long_prefills = self.long_prefills.saturating_sub(u32::from(sent.is_long));
+    }
+
+    fn learn_first_token(&mut self, sent: &Sent, seen: Millis) {
+        let tokens = f64::from(sent.unread_tokens + sent.ahead_tokens);
+        if sent.unread_tokens + sent.ahead_tokens < SHORT_PROMPT_TOKENS {
+            let base = seen - tokens * self.prefill_ms.get();
+            self.base_ms.add(base.max(0.1));
+        } else {
+            let rate = (seen - self.base_ms.get()) / tokens;
+            self.prefill_ms.add(rate.max(0.001));
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/event.rs
@@ -0,0 +1,170 @@
+//! What the core is told and what it answers.
+
+use serde::{Deserialize, Serialize};
+use slotmap::new_key_type;
+use smallvec::SmallVec;
+
+new_key_type! {
+    /// Names an endpoint inside one core.
+    pub struct EndpointKey;
+}
+
+/// Milliseconds since the driver's start; the core compares and subtracts them.
+pub type Millis = f64;
+
+/// A tier's rank; 0 is the most urgent.
+pub type Rank = u8;
+
+/// Names a request; drawn by the driver and never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ticket(pub u64);
+
+/// Names an organisation, from the driver's arena.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrgId(pub u32);
+
+/// Names a kind of work, from the driver's arena.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KindId(pub u16);
+
+/// Hashes of a prompt's blocks; each covers all blocks before it.
+pub type PrefixBlocks = SmallVec<[u64; 8]>;
+
+/// All that the core knows of a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Descriptor {
+    /// The tier's rank.
+    pub rank: Rank,
+    /// Who sent it.
+    pub org: OrgId,
+    /// The organisation's share against the others'.
+    pub weight: u32,
+    /// What kind of work it is; the core learns answer lengths by it.
+    pub kind: KindId,
+    /// Length of the prompt, in tokens; 0 for a plain service.
+    pub prompt_tokens: u32,
+    /// Expected length of the answer, in tokens, until the kind's is learned.
+    pub answer_tokens: u32,
+    /// Hashes of the prompt's blocks.
+    pub prefix: PrefixBlocks,
+    /// When the caller stops waiting for the answer's end.
+    pub deadline: Millis,
+    /// Whether this is a repeat after a failed dispatch; repeats have a budget.
+    pub retry: bool,
+}
+
+/// What an endpoint is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndpointSpec {
+    /// The most requests that it is sent at once.
+    pub slots: u32,
+    /// How many blocks its prefix cache holds; 0 when it has none.
+    pub cache_blocks: u32,
+}
+
+/// An endpoint's word on its load; it lags.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests in the endpoint, from all senders.
+    pub requests: u32,
+    /// How old the report was when it came.
+    pub age_ms: Millis,
+}
+
+/// How a dispatched request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// The whole answer came; its length in tokens.
+    Whole {
+        /// Length of the answer.
+        answer_tokens: u32,
+    },
+    /// The endpoint failed.
+    Failed,
+    /// The connection went silent, which does not speak against the endpoint.
+    Lost,
+    /// The caller went away.
+    Cancelled,
+}
+
+/// What the driver tells the core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A request came in.
+    Offer(Ticket, Descriptor),
+    /// The caller of a waiting request went away.
+    Withdraw(Ticket),
+    /// The first token of a dispatched request came.
+    FirstToken(Ticket),
+    /// A dispatched request ended.
+    End(Ticket, Ending),
+    /// An endpoint may receive work, or its spec changed.
+    EndpointJoined(EndpointKey, EndpointSpec),
+    /// An endpoint must receive no new work.
+    EndpointLeaving(EndpointKey),
+    /// An endpoint is gone, with all that it worked on.
+    EndpointGone(EndpointKey),
+    /// An endpoint reported its load.
+    Reported(EndpointKey, Report),
+    /// An endpoint's cache now holds blocks; late and with gaps.
+    CacheStored(EndpointKey, PrefixBlocks),
+    /// An endpoint's cache dropped blocks; late and with gaps.
+    CacheDropped(EndpointKey, PrefixBlocks),
+    /// Another availability zone can take this many requests.
+    NeighbourRoom(u32),
+    /// Time has passed.
+    Tick,
+}
+
+/// Why a request is not dispatched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// More urgent or earlier work takes all there is.
+    Load,
+    /// The answer cannot come before the deadline any more.
+    Late,
+    /// No endpoint may receive work.
+    NoEndpoint,
+    /// The pool's retries are spent.
+    RetryBudget,
+}
+
+/// The inputs of a decision, for `baobabvanectl explain`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Why {
+    /// How long the request had waited.
+    pub waited_ms: Millis,
+    /// Requests that waited in the same tier.
+    pub waiting_in_tier: u32,
+    /// Requests that waited in less urgent tiers.
+    pub waiting_below: u32,
+    /// Estimated wait of the tier.
+    pub tier_wait_ms: Millis,
+    /// Requests in flight at the pool's endpoints.
+    pub in_flight: u32,
+    /// Requests that the endpoints may have in flight now.
+    pub room: u32,
+}
+
+/// The endpoint that was chosen, with its estimate.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Estimated time to the first token.
+    pub first_token_ms: Millis,
+    /// Prompt tokens that its cache is expected to hold.
+    pub cached_tokens: u32,
+}
+
+/// What the driver has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to the endpoint now.
+    Dispatch(Ticket, Choice, Why),
+    /// Tell the caller that the request did not run.
+    Refuse(Ticket, Refusal, Why),
+    /// Offer the request to another availability zone.
+    Spill(Ticket, Why),
+}
--- /dev/null
+++ b/crates/decide/src/learn.rs
@@ -0,0 +1,93 @@
+//! Averages that forget.
+
+use crate::event::Millis;
+
+/// An exponentially weighted average that starts at a prior.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Average {
+    value: f64,
+    samples: u32,
+    step: f64,
+}
+
+impl Average {
+    /// Makes an average whose newest sample weighs `step`, 0 to 1.
+    pub(crate) fn new(prior: f64, step: f64) -> Self {
+        Self { value: prior, samples: 0, step }
+    }
+
+    /// Adds a sample; the first ones weigh more, so that a wrong prior goes fast.
+    pub(crate) fn add(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let step = self.step.max(1.0 / f64::from(self.samples + 1));
+        self.value += (sample - self.value) * step;
+    }
+
+    pub(crate) fn get(&self) -> f64 {
+        self.value
+    }
+
+    pub(crate) fn is_learned(&self) -> bool {
+        self.samples >= 3
+    }
+}
+
+/// Work per millisecond over a sliding exponential window.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rate {
+    amount: f64,
+    at: Millis,
+    window_ms: Millis,
+    since: Millis,
+}
+
+impl Rate {
+    pub(crate) fn new(window_ms: Millis) -> Self {
+        Self { amount: 0.0, at: 0.0, window_ms, since: f64::NAN }
+    }
+
+    pub(crate) fn add(&mut self, now: Millis, amount: f64) {
+        if self.since.is_nan() {
+            self.since = now;
+        }
+        self.amount = self.total(now) + amount;
+        self.at = now;
+    }
+
+    /// Returns the amount that the window still remembers.
+    pub(crate) fn total(&self, now: Millis) -> f64 {
+        self.amount * (-(now - self.at).max(0.0) / self.window_ms).exp()
+    }
+
+    /// Returns the amount per millisecond; 0 before the first sample.
+    pub(crate) fn per_ms(&self, now: Millis) -> f64 {
+        if self.since.is_nan() {
+            return 0.0;
+        }
+        let filled = 1.0 - (-(now - self.since).max(1.0) / self.window_ms).exp();
+        self.total(now) / (self.window_ms * filled)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rate_is_right_before_its_window_is_full() {
+        let mut rate = Rate::new(2000.0);
+        for ms in 0..200 {
+            rate.add(f64::from(ms), 3.0);
+        }
+        assert!((rate.per_ms(200.0) - 3.0).abs() < 0.1, "{}", rate.per_ms(200.0));
+    }
+
+    #[test]
+    fn a_wrong_prior_goes_fast() {
+        let mut average = Average::new(1000.0, 0.1);
+        for _ in 0..10 {
+            average.add(10.0);
+        }
+        assert!(average.get() < 150.0, "{}", average.get());
+    }
+}
--- /dev/null
+++ b/crates/decide/src/prefix.rs
@@ -0,0 +1,154 @@
+//! What the prefix caches of the endpoints are expected to hold.
+//!
+//! Cache events come late and with gaps, so the index is mostly our own record
+//! of what was sent where, bounded by each cache's size and corrected by events.
+//! It is a hint: a wrong entry costs a prefill, never a promise.
+
+use std::collections::{BTreeMap, HashMap};
+
+use smallvec::SmallVec;
+
+use crate::event::EndpointKey;
+
+/// The caches of all endpoints of a pool.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixIndex {
+    holders: HashMap<u64, SmallVec<[EndpointKey; 2]>>,
+    caches: HashMap<EndpointKey, Cache>,
+}
+
+/// Least recently used order of one endpoint's blocks.
+#[derive(Debug, Default)]
+struct Cache {
+    capacity: usize,
+    used_at: HashMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    clock: u64,
+}
+
+impl Cache {
+    /// Marks a block as used; returns whether it is new.
+    fn touch(&mut self, block: u64) -> bool {
+        self.clock += 1;
+        let old = self.used_at.insert(block, self.clock);
+        if let Some(old) = old {
+            self.by_use.remove(&old);
+        }
+        self.by_use.insert(self.clock, block);
+        old.is_none()
+    }
+
+    fn remove(&mut self, block: u64) -> bool {
+        let Some(at) = self.used_at.remove(&block) else { return false };
+        self.by_use.remove(&at);
+        true
+    }
+
+    fn pop_over_capacity(&mut self) -> Option<u64> {
+        if self.used_at.len() <= self.capacity {
+            return None;
+        }
+        let (_, block) = self.by_use.pop_first()?;
+        self.used_at.remove(&block);
+        Some(block)
+    }
+}
+
+/// An endpoint that holds the first blocks of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Holder {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) blocks: u32,
+}
+
+impl PrefixIndex {
+    /// Sets the size of an endpoint's cache, in blocks.
+    pub(crate) fn set_capacity(&mut self, endpoint: EndpointKey, blocks: u32) {
+        self.caches.entry(endpoint).or_default().capacity = blocks as usize;
+    }
+
+    /// Notes that an endpoint reads these blocks.
+    ///
+    /// The last block is touched first, so that the start of a prefix, which
+    /// more prompts share, is dropped last.
+    pub(crate) fn store(&mut self, endpoint: EndpointKey, blocks: &[u64]) {
+        let Some(cache) = self.caches.get_mut(&endpoint) else { return };
+        if cache.capacity == 0 {
+            return;
+        }
+        for &block in blocks.iter().rev() {
+            if cache.touch(block) {
+                self.holders.entry(block).or_default().push(endpoint);
+            }
+        }
+        while let Some(block) = cache.pop_over_capacity() {
+            remove_holder(&mut self.holders, block, endpoint);
+        }
+    }
+
+    /// Notes that an endpoint dropped these blocks.
+    pub(crate) fn drop_blocks(&mut self, endpoint: EndpointKey, blocks: &[u64]) {
+        let Some(cache) = self.caches.get_mut(&endpoint) else { return };
+        for &block in blocks {
+            if cache.remove(block) {
+                remove_holder(&mut self.holders, block, endpoint);
+            }
+        }
+    }
+
+    /// Forgets an endpoint.
+    pub(crate) fn forget(&mut self, endpoint: EndpointKey) {
+        let Some(cache) = self.caches.remove(&endpoint) else { return };
+        for block in cache.used_at.into_keys() {
+            remove_holder(&mut self.holders, block, endpoint);
+        }
+    }
+
+    /// Lists the endpoints that hold at least the first block of a prompt.
+    pub(crate) fn holders(&self, prefix: &[u64]) -> SmallVec<[Holder; 8]> {
+        let mut found = SmallVec::new();
+        let Some(first) = prefix.first().and_then(|b| self.holders.get(b)) else { return found };
+        for &endpoint in first {
+            found.push(Holder { endpoint, blocks: self.held(endpoint, prefix) });
+        }
+        found
+    }
+
+    fn held(&self, endpoint: EndpointKey, prefix: &[u64]) -> u32 {
+        let Some(cache) = self.caches.get(&endpoint) else { return 0 };
+        prefix.iter().take_while(|b| cache.used_at.contains_key(b)).count() as u32
+    }
+}
+
+fn remove_holder(
+    holders: &mut HashMap<u64, SmallVec<[EndpointKey; 2]>>,
+    block: u64,
+    endpoint: EndpointKey,
+) {
+    let Some(list) = holders.get_mut(&block) else { return };
+    list.retain(|e| *e != endpoint);
+    if list.is_empty() {
+        holders.remove(&block);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use slotmap::SlotMap;
+
+    use super::*;
+
+    #[test]
+    fn a_full_cache_drops_the_end_of_the_oldest_prefix_first() {
+        let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+        let endpoint = keys.insert(());
+        let mut index = PrefixIndex::default();
+        index.set_capacity(endpoint, 4);
+        index.store(endpoint, &[1, 2, 3]);
+        index.store(endpoint, &[11, 12]);
+        assert_eq!(index.holders(&[1, 2, 3])[0].blocks, 2);
+        assert_eq!(index.holders(&[11, 12])[0].blocks, 2);
+        index.drop_blocks(endpoint, &[1]);
+        assert!(index.holders(&[1, 2]).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/decide/src/queue.rs
@@ -0,0 +1,296 @@
+//! What waits: tiers, in them organisations by fair share, in them deadlines.
+//!
+//! Organisations share a tier by start-time fair queueing: each has a virtual
+//! time that grows by its cost over its weight, and the smallest goes first.
+//! An organisation that comes back starts at the tier's clock, so that silence
+//! saves up no share.
+
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, HashMap},
+};
+
+use crate::event::{Descriptor, Millis, OrgId, Rank, Ticket};
+
+/// A number that sorts; the core makes no NaN.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Ordered(pub(crate) f64);
+
+impl Eq for Ordered {}
+
+impl Ord for Ordered {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Ordered {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) descriptor: Descriptor,
+    pub(crate) since: Millis,
+    /// Estimated engine time, in milliseconds.
+    pub(crate) cost: f64,
+    /// After this moment the answer cannot come in time.
+    pub(crate) latest_start: Millis,
+}
+
+#[derive(Debug, Default)]
+struct OrgQueue {
+    by_deadline: BTreeSet<(Ordered, Ticket)>,
+    start: f64,
+    cost: f64,
+    weight: f64,
+}
+
+impl OrgQueue {
+    /// Returns the virtual time at which the last waiting request would be served.
+    fn finish(&self) -> f64 {
+        self.start + self.cost / self.weight
+    }
+}
+
+#[derive(Debug, Default)]
+struct TierQueue {
+    orgs: HashMap<OrgId, OrgQueue>,
+    by_start: BTreeSet<(Ordered, OrgId)>,
+    by_finish: BTreeSet<(Ordered, OrgId)>,
+    clock: f64,
+    cost: f64,
+    len: u32,
+}
+
+/// All waiting requests of a pool.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    waiting: HashMap<Ticket, Waiting>,
+    tiers: BTreeMap<Rank, TierQueue>,
+    by_latest_start: BTreeSet<(Ordered, Ticket)>,
+    fair_share: bool,
+}
+
+/// Idle organisations are forgotten when a tier knows this many.
+const FORGET_IDLE_ABOVE: usize = 4096;
+
+impl Queue {
+    pub(crate) fn new(fair_share: bool) -> Self {
+        Self { fair_share, ..Self::default() }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn get(&self, ticket: Ticket) -> Option<&Waiting> {
+        self.waiting.get(&ticket)
+    }
+
+    /// Lists the tiers that have waiting requests, most urgent first.
+    pub(crate) fn ranks(&self) -> impl DoubleEndedIterator<Item = Rank> {
+        self.tiers.iter().filter(|(_, tier)| tier.len > 0).map(|(rank, _)| *rank)
+    }
+
+    pub(crate) fn tier_len(&self, rank: Rank) -> u32 {
+        self.tiers.get(&rank).map_or(0, |t| t.len)
+    }
+
+    pub(crate) fn tier_cost(&self, rank: Rank) -> f64 {
+        self.tiers.get(&rank).map_or(0.0, |t| t.cost)
+    }
+
+    /// Returns the cost of all that waits at the rank and above it.
+    pub(crate) fn cost_up_to(&self, rank: Rank) -> f64 {
+        self.tiers.range(..=rank).map(|(_, t)| t.cost).sum()
+    }
+
+    pub(crate) fn len_below(&self, rank: Rank) -> u32 {
+        self.tiers.range(rank + 1..).map(|(_, t)| t.len).sum()
+    }
+
+    pub(crate) fn push(&mut self, ticket: Ticket, waiting: Waiting) {
+        let d = &waiting.descriptor;
+        let org = self.share_of(d.org);
+        self.by_latest_start.insert((Ordered(waiting.latest_start), ticket));
+        let tier = self.tiers.entry(d.rank).or_default();
+        tier.push(org, f64::from(d.weight.max(1)), d.deadline, ticket, waiting.cost);
+        self.waiting.insert(ticket, waiting);
+    }
+
+    /// Returns the request of a tier whose turn it is.
+    pub(crate) fn head(&self, rank: Rank) -> Option<Ticket> {
+        let tier = self.tiers.get(&rank)?;
+        let (_, org) = tier.by_start.first()?;
+        tier.orgs[org].by_deadline.first().map(|(_, ticket)| *ticket)
+    }
+
+    /// Takes a request out to dispatch it, and charges its organisation.
+    pub(crate) fn dispatch(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.remove(ticket)?;
+        let org = self.share_of(waiting.descriptor.org);
+        if let Some(tier) = self.tiers.get_mut(&waiting.descriptor.rank) {
+            tier.charge(org, f64::from(waiting.descriptor.weight.max(1)), waiting.cost);
+        }
+        Some(waiting)
+    }
+
+    /// Corrects an organisation's charge when the true cost is known.
+    pub(crate) fn correct(&mut self, rank: Rank, org: OrgId, weight: u32, difference: f64) {
+        let org = self.share_of(org);
+        if let Some(tier) = self.tiers.get_mut(&rank) {
+            tier.correct(org, f64::from(weight.max(1)), difference);
+        }
+    }
+
+    /// Takes a request out without charging anyone.
+    pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        let d = &waiting.descriptor;
+        let org = self.share_of(d.org);
+        self.by_latest_start.remove(&(Ordered(waiting.latest_start), ticket));
+        if let Some(tier) = self.tiers.get_mut(&d.rank) {
+            tier.remove(org, d.deadline, ticket, waiting.cost);
+        }
+        Some(waiting)
+    }
+
+    /// Returns a request that cannot be answered in time any more.
+    pub(crate) fn first_late(&self, now: Millis) -> Option<Ticket> {
+        let (latest, ticket) = self.by_latest_start.first()?;
+        (latest.0 < now).then_some(*ticket)
+    }
+
+    /// Returns the request of a tier that yields first: the last one of the
+    /// organisation that is furthest over its share.
+    pub(crate) fn victim(&self, rank: Rank) -> Option<Ticket> {
+        let tier = self.tiers.get(&rank)?;
+        let (_, org) = tier.by_finish.last()?;
+        tier.orgs[org].by_deadline.last().map(|(_, ticket)| *ticket)
+    }
+
+    fn share_of(&self, org: OrgId) -> OrgId {
+        if self.fair_share { org } else { OrgId(0) }
+    }
+}
+
+impl TierQueue {
+    fn push(&mut self, id: OrgId, weight: f64, deadline: Millis, ticket: Ticket, cost: f64) {
+        let clock = self.clock;
+        self.update(id, |org| {
+            if org.by_deadline.is_empty() {
+                org.start = org.start.max(clock);
+            }
+            org.weight = weight;
+            org.cost += cost;
+            org.by_deadline.insert((Ordered(deadline), ticket));
+        });
+        self.cost += cost;
+        self.len += 1;
+    }
+
+    fn remove(&mut self, id: OrgId, deadline: Millis, ticket: Ticket, cost: f64) {
+        self.update(id, |org| {
+            org.by_deadline.remove(&(Ordered(deadline), ticket));
+            org.cost = if org.by_deadline.is_empty() { 0.0 } else { org.cost - cost };
+        });
+        self.len -= 1;
+        self.cost = if self.len == 0 { 0.0 } else { self.cost - cost };
+        self.forget_idle();
+    }
+
+    fn charge(&mut self, id: OrgId, weight: f64, cost: f64) {
+        let mut start = 0.0;
+        self.update(id, |org| {
+            start = org.start;
+            org.weight = weight;
+            org.start += cost / weight;
+        });
+        self.clock = self.clock.max(start);
+    }
+
+    fn correct(&mut self, id: OrgId, weight: f64, difference: f64) {
+        let clock = self.clock;
+        self.update(id, |org| {
+            // Giving back more than the lead would save up share.
+            org.start = (org.start + difference / weight).max(clock.min(org.start));
+        });
+    }
+
+    /// Changes an organisation's queue and keeps both orders true.
+    fn update(&mut self, id: OrgId, change: impl FnOnce(&mut OrgQueue)) {
+        let org =
+            self.orgs.entry(id).or_insert_with(|| OrgQueue { weight: 1.0, ..OrgQueue::default() });
+        if !org.by_deadline.is_empty() {
+            self.by_start.remove(&(Ordered(org.start), id));
+            self.by_finish.remove(&(Ordered(org.finish()), id));
+        }
+        change(org);
+        if !org.by_deadline.is_empty() {
+            self.by_start.insert((Ordered(org.start), id));
+            self.by_finish.insert((Ordered(org.finish()), id));
+        }
+    }
+
+    fn forget_idle(&mut self) {
+        if self.orgs.len() <= FORGET_IDLE_ABOVE || self.orgs.len() < 2 * self.by_start.len() {
+            return;
+        }
+        let clock = self.clock;
+        let before = self.orgs.len();
+        self.orgs.retain(|_, org| !org.by_deadline.is_empty() || org.start > clock);
+        if self.orgs.len() == before {
+            // All are ahead of the clock: keep them, their lead is their charge.
+            self.orgs.shrink_to_fit();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use smallvec::smallvec;
+
+    use super::*;
+    use crate::event::KindId;
+
+    fn push(queue: &mut Queue, ticket: u64, org: u32, cost: f64) {
+        let descriptor = Descriptor {
+            rank: 0,
+            org: OrgId(org),
+            weight: 1,
+            kind: KindId(0),
+            prompt_tokens: 0,
+            answer_tokens: 1,
+            prefix: smallvec![],
+            deadline: 1000.0,
+            retry: false,
+        };
+        let waiting = Waiting { descriptor, since: 0.0, cost, latest_start: 500.0 };
+        queue.push(Ticket(ticket), waiting);
+    }
+
+    #[test]
+    fn a_small_organisation_goes_before_the_backlog_of_a_large_one() {
+        let mut queue = Queue::new(true);
+        (0..10).for_each(|t| push(&mut queue, t, 1, 10.0));
+        (0..3).for_each(|_| drop(queue.dispatch(queue.head(0).unwrap())));
+        push(&mut queue, 100, 2, 10.0);
+        let served: Vec<_> = (0..2)
+            .map(|_| queue.dispatch(queue.head(0).unwrap()).unwrap().descriptor.org.0)
+            .collect();
+        assert!(served.contains(&2), "{served:?}");
+    }
+
+    #[test]
+    fn the_organisation_furthest_over_its_share_yields_first() {
+        let mut queue = Queue::new(true);
+        (0..10).for_each(|t| push(&mut queue, t, 1, 10.0));
+        push(&mut queue, 100, 2, 20.0);
+        let victim = queue.victim(0).unwrap();
+        assert_eq!(queue.get(victim).unwrap().descriptor.org, OrgId(1));
+    }
+}
--- /dev/null
+++ b/crates/decide/src/shed.rs
@@ -0,0 +1,121 @@
+//! Which waiting request yields under overload, in the strictest order.
+//!
+//! A tier is overloaded when its requests would wait longer than their callers.
+//! Before any of them is refused, nothing less urgent may be waiting: what is
+//! less urgent is refused first, but for what its floor will dispatch within a
+//! moment, and nothing less urgent is admitted meanwhile. See
+//! [shedding](../../../docs/decisions.md#shedding).
+
+use crate::{
+    event::{Millis, Rank, Ticket},
+    learn::Average,
+    queue::Queue,
+};
+
+/// A tier sheds when its wait is over this share of its callers' patience.
+const HIGH_WATER: f64 = 0.5;
+/// It sheds down to this share.
+const LOW_WATER: f64 = 0.35;
+/// Less urgent work that its floor dispatches in this time is let through.
+const FLOOR_WINDOW_MS: Millis = 500.0;
+/// Less urgent work that was not dispatched in this time is refused after all.
+const DRAIN_MS: Millis = 1_000.0;
+/// No more requests wait in one pool, whatever the estimates say.
+const MAX_WAITING: usize = 20_000;
+
+/// What the shedder is told of the pool.
+pub(crate) struct Pool<'a> {
+    pub(crate) queue: &'a Queue,
+    /// Estimated engine time that the pool works off in a millisecond.
+    pub(crate) capacity: f64,
+    pub(crate) floor: &'a dyn Fn(Rank) -> f64,
+    pub(crate) now: Millis,
+}
+
+/// An overload that is being dealt with.
+#[derive(Clone, Copy, Debug)]
+struct Episode {
+    rank: Rank,
+    since: Millis,
+}
+
+/// Decides who yields.
+#[derive(Debug, Default)]
+pub(crate) struct Shedder {
+    patience: Vec<Average>,
+    episode: Option<Episode>,
+}
+
+impl Shedder {
+    /// Learns how long the callers of a tier wait.
+    pub(crate) fn offered(&mut self, rank: Rank, patience: Millis) {
+        let index = usize::from(rank);
+        while self.patience.len() <= index {
+            self.patience.push(Average::new(patience, 0.02));
+        }
+        self.patience[index].add(patience);
+    }
+
+    /// Says whether offers of a tier are refused until more urgent work has been shed.
+    pub(crate) fn bars(&self, rank: Rank) -> bool {
+        self.episode.is_some_and(|e| rank > e.rank)
+    }
+
+    /// Returns the next request that has to yield.
+    pub(crate) fn next(&mut self, pool: &Pool<'_>) -> Option<Ticket> {
+        let Some(rank) = self.overloaded(pool) else {
+            self.episode = None;
+            return None;
+        };
+        let episode = match self.episode {
+            Some(e) if e.rank == rank => e,
+            _ => Episode { rank, since: pool.now },
+        };
+        self.episode = Some(episode);
+        let drained = pool.now - episode.since > DRAIN_MS;
+        for below in pool.queue.ranks().rev().take_while(|r| *r > rank) {
+            if drained || self.is_over_floor(pool, below) {
+                return pool.queue.victim(below);
+            }
+        }
+        if pool.queue.len_below(rank) > 0 {
+            return None;
+        }
+        pool.queue.victim(rank)
+    }
+
+    /// Estimates how long a new request of the tier would wait.
+    pub(crate) fn wait(pool: &Pool<'_>, rank: Rank) -> Millis {
+        if pool.capacity <= 0.0 {
+            return 0.0;
+        }
+        pool.queue.cost_up_to(rank) / pool.capacity
+    }
+
+    fn overloaded(&self, pool: &Pool<'_>) -> Option<Rank> {
+        let over = pool.queue.ranks().find(|&rank| {
+            let limit = self.water_line(rank) * self.patience_of(rank);
+            Self::wait(pool, rank) > limit
+        });
+        match over {
+            None if pool.queue.len() > MAX_WAITING => pool.queue.ranks().next_back(),
+            over => over,
+        }
+    }
+
+    fn water_line(&self, rank: Rank) -> f64 {
+        match self.episode {
+            Some(e) if e.rank == rank => LOW_WATER,
+            _ => HIGH_WATER,
+        }
+    }
+
+    fn is_over_floor(&self, pool: &Pool<'_>, rank: Rank) -> bool {
+        let allowed = (pool.floor)(rank) * pool.capacity * FLOOR_WINDOW_MS;
+        pool.queue.tier_len(rank) > 1 && pool.queue.tier_cost(rank) > allowed
+    }
+
+    fn patience_of(&self, rank: Rank) -> Millis {
+        self.patience.get(usize::from(rank)).map_or(f64::INFINITY, Average::get)
+    }
+}
--- /dev/null
+++ b/crates/domain/src/catalog.rs
@@ -0,0 +1,306 @@
+//! The configuration as a pure function of the log's records.
+//!
+//! Every instance applies the same records in the same order, so that racing
+//! operators get one winner; see [configuration](../../../docs/configuration.md).
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{
+    record::{Change, Operation},
+    resource::{Endpoint, Kind, Organisation, Resource, ResourceName, ResourceType, Spec, Tier},
+};
+
+/// The largest rank of a tier.
+pub(crate) const MAX_TIER_RANK: u8 = 15;
+/// The longest name of a resource, in bytes.
+pub(crate) const MAX_NAME_BYTES: usize = 128;
+/// The most slots of an endpoint.
+pub(crate) const MAX_SLOTS: u32 = 4096;
+/// The largest floor of a tier, in percent.
+pub(crate) const MAX_FLOOR_PERCENT: u32 = 90;
+/// The largest weight of an organisation.
+pub(crate) const MAX_WEIGHT: u32 = 10_000;
+
+/// Why a change was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeError {
+    /// Another change came first.
+    #[error("{name} is at version {current}, but the change expects {expected}")]
+    Conflict {
+        /// The resource.
+        name: String,
+        /// What the change expected; 0 means that it must not exist.
+        expected: u64,
+        /// The version in force; 0 means that it does not exist.
+        current: u64,
+    },
+    /// The resource does not exist.
+    #[error("{name} does not exist")]
+    NotFound {
+        /// The resource.
+        name: String,
+    },
+    /// A value is out of range or refers to something that does not exist.
+    #[error("{name}: {reason}")]
+    Invalid {
+        /// The resource.
+        name: String,
+        /// The key, its value and what is allowed.
+        reason: String,
+    },
+    /// Others refer to the resource that is to be deleted.
+    #[error("{name} is used by {user}")]
+    InUse {
+        /// The resource.
+        name: String,
+        /// One that refers to it.
+        user: String,
+    },
+}
+
+/// All resources in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Catalog {
+    resources: BTreeMap<ResourceType, BTreeMap<String, Resource>>,
+}
+
+impl Catalog {
+    /// Applies a change; its offset becomes the version of the resource.
+    pub fn apply(&mut self, change: &Change, offset: u64) -> Result<(), ChangeError> {
+        self.check(change)?;
+        let of_type = self.resources.entry(change.name.type_).or_default();
+        match &change.operation {
+            Operation::Put(spec) => {
+                let name = change.name.name.clone();
+                of_type
+                    .insert(name.clone(), Resource { name, version: offset, spec: spec.clone() });
+            }
+            Operation::Delete => {
+                of_type.remove(&change.name.name);
+            }
+        }
+        Ok(())
+    }
+
+    /// Says whether a change could be applied now.
+    pub fn check(&self, change: &Change) -> Result<(), ChangeError> {
+        self.check_version(change)?;
+        match &change.operation {
+            Operation::Put(spec) => self.check_spec(&change.name, spec),
+            Operation::Delete => self.check_unused(&change.name),
+        }
+    }
+
+    /// Returns a resource by type and name.
+    pub fn get(&self, name: &ResourceName) -> Option<&Resource> {
+        self.resources.get(&name.type_)?.get(&name.name)
+    }
+
+    /// Lists the resources of a type by name.
+    pub fn list(&self, type_: ResourceType) -> impl Iterator<Item = &Resource> {
+        self.resources.get(&type_).into_iter().flat_map(BTreeMap::values)
+    }
+
+    /// Returns a tier.
+    pub fn tier(&self, name: &str) -> Option<&Tier> {
+        match &self.resources.get(&ResourceType::Tier)?.get(name)?.spec {
+            Spec::Tier(tier) => Some(tier),
+            _ => None,
+        }
+    }
+
+    /// Returns a kind of work.
+    pub fn kind(&self, name: &str) -> Option<&Kind> {
+        match &self.resources.get(&ResourceType::Kind)?.get(name)?.spec {
+            Spec::Kind(kind) => Some(kind),
+            _ => None,
+        }
+    }
+
+    /// Lists the tiers by name.
+    pub fn tiers(&self) -> impl Iterator<Item = (&str, &Tier)> {
+        self.list(ResourceType::Tier).filter_map(|r| match &r.spec {
+            Spec::Tier(tier) => Some((r.name.as_str(), tier)),
+            _ => None,
+        })
+    }
+
+    /// Lists the organisations by name.
+    pub fn organisations(&self) -> impl Iterator<Item = (&str, &Organisation)> {
+        self.list(ResourceType::Organisation).filter_map(|r| match &r.spec {
+            Spec::Organisation(org) => Some((r.name.as_str(), org)),
+            _ => None,
+        })
+    }
+
+    /// Lists the endpoints by name.
+    pub fn endpoints(&self) -> impl Iterator<Item = (&str, &Endpoint)> {
+        self.list(ResourceType::Endpoint).filter_map(|r| match &r.spec {
+            Spec::Endpoint(endpoint) => Some((r.name.as_str(), endpoint)),
+            _ => None,
+        })
+    }
+
+    /// Lists the kinds of work by name.
+    pub fn kinds(&self) -> impl Iterator<Item = (&str, &Kind)> {
+        self.list(ResourceType::Kind).filter_map(|r| match &r.spec {
+            Spec::Kind(kind) => Some((r.name.as_str(), kind)),
+            _ => None,
+        })
+    }
+
+    fn check_version(&self, change: &Change) -> Result<(), ChangeError> {
+        let current = self.get(&change.name).map_or(0, |r| r.version);
+        if current == 0 && matches!(change.operation, Operation::Delete) {
+            return Err(ChangeError::NotFound { name: change.name.to_string() });
+        }
+        match change.expected_version {
+            Some(expected) if expected != current => {
+                Err(ChangeError::Conflict { name: change.name.to_string(), expected, current })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_spec(&self, name: &ResourceName, spec: &Spec) -> Result<(), ChangeError> {
+        let invalid = |reason: String| ChangeError::Invalid { name: name.to_string(), reason };
+        if spec.resource_type() != name.type_ {
+            return Err(invalid(format!("spec is of type {}", spec.resource_type())));
+        }
+        check_name(&name.name).map_err(&invalid)?;
+        match spec {
+            Spec::Tier(tier) => self.check_tier(&name.name, tier),
+            Spec::Kind(kind) => self.check_kind(kind),
+            Spec::Organisation(org) => self.check_organisation(&name.name, org),
+            Spec::Endpoint(endpoint) => check_endpoint(endpoint),
+        }
+        .map_err(invalid)
+    }
+
+    fn check_tier(&self, name: &str, tier: &Tier) -> Result<(), String> {
+        check_range("rank", tier.rank.into(), 0, MAX_TIER_RANK.into())?;
+        check_range("floor_percent", tier.floor_percent, 0, MAX_FLOOR_PERCENT)?;
+        let twin = self
+            .list(ResourceType::Tier)
+            .find(|r| matches!(&r.spec, Spec::Tier(t) if t.rank == tier.rank && r.name != name));
+        match twin {
+            Some(twin) => Err(format!("rank {} is taken by tier {:?}", tier.rank, twin.name)),
+            None => Ok(()),
+        }
+    }
+
+    fn check_kind(&self, kind: &Kind) -> Result<(), String> {
+        if self.tier(&kind.tier).is_none() {
+            return Err(format!("tier {:?} does not exist", kind.tier));
+        }
+        check_name(&kind.pool)?;
+        check_range("deadline_ms", kind.deadline_ms, 1, 86_400_000)?;
+        check_range("answer_tokens", kind.answer_tokens, 1, 10_000_000)
+    }
+
+    fn check_organisation(&self, name: &str, org: &Organisation) -> Result<(), String> {
+        check_range("weight", org.weight, 1, MAX_WEIGHT)?;
+        for hash in &org.key_hashes {
+            let hex = hash.len() == 64 && hash.bytes().all(|b| b.is_ascii_hexdigit());
+            if !hex {
+                return Err("key_hashes: expected 64 hexadecimal digits each".to_owned());
+            }
+            let other = self
+                .organisations()
+                .find(|(other, o)| *other != name && o.key_hashes.contains(hash));
+            if let Some((other, _)) = other {
+                return Err(format!("key_hashes: one is taken by organisation {other:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_unused(&self, name: &ResourceName) -> Result<(), ChangeError> {
+        if name.type_ != ResourceType::Tier {
+            return Ok(());
+        }
+        match self.kinds().find(|(_, kind)| kind.tier == name.name) {
+            Some((user, _)) => {
+                Err(ChangeError::InUse { name: name.to_string(), user: format!("kind {user:?}") })
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+fn check_endpoint(endpoint: &Endpoint) -> Result<(), String> {
+    check_name(&endpoint.zone)?;
+    check_name(&endpoint.pool)?;
+    check_range("slots", endpoint.slots, 1, MAX_SLOTS)
+}
+
+fn check_range(key: &str, value: u32, min: u32, max: u32) -> Result<(), String> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(format!("{key} {value} is out of range, allowed: {min} to {max}"))
+}
+
+fn check_name(name: &str) -> Result<(), String> {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(format!("name {name:?} must have 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn put(name: &str, spec: Spec, expected_version: Option<u64>) -> Change {
+        let name = ResourceName { type_: spec.resource_type(), name: name.to_owned() };
+        Change {
+            id: uuid::Uuid::nil(),
+            who: "test".to_owned(),
+            at_ms: 0,
+            name,
+            expected_version,
+            operation: Operation::Put(spec),
+        }
+    }
+
+    fn tier(rank: u8) -> Spec {
+        Spec::Tier(Tier { rank, floor_percent: 5 })
+    }
+
+    #[test]
+    fn the_second_of_two_racing_changes_conflicts() {
+        let mut catalog = Catalog::default();
+        catalog.apply(&put("urgent", tier(0), Some(0)), 1).unwrap();
+        catalog.apply(&put("urgent", tier(1), Some(1)), 2).unwrap();
+        let err = catalog.apply(&put("urgent", tier(2), Some(1)), 3).unwrap_err();
+        assert_eq!(err.to_string(), "tier \"urgent\" is at version 2, but the change expects 1");
+        assert_eq!(catalog.tier("urgent").unwrap().rank, 1);
+    }
+
+    #[test]
+    fn a_tier_in_use_cannot_be_deleted() {
+        let mut catalog = Catalog::default();
+        catalog.apply(&put("urgent", tier(0), None), 1).unwrap();
+        let kind = serde_json::json!({
+            "tier": "urgent", "pool": "p", "protocol": "plain", "idempotent": true
+        });
+        let kind = Spec::from_json(ResourceType::Kind, kind).unwrap();
+        catalog.apply(&put("quote", kind, None), 2).unwrap();
+        let mut delete = put("urgent", tier(0), None);
+        delete.operation = Operation::Delete;
+        let err = catalog.apply(&delete, 3).unwrap_err();
+        assert_eq!(err.to_string(), "tier \"urgent\" is used by kind \"quote\"");
+    }
+
+    #[test]
+    fn an_error_names_the_key_and_the_range() {
+        let err = Catalog::default().apply(&put("slow", tier(16), None), 1).unwrap_err();
+        assert_eq!(err.to_string(), "tier \"slow\": rank 16 is out of range, allowed: 0 to 15");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http_log.rs
@@ -0,0 +1,125 @@
+//! The platform's log service over HTTP.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use baobabvane_wire::{ClientConn, Connector, WireError};
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use monoio::time::timeout;
+
+use crate::{AppendError, Appended, Batch, ReadError, Stream};
+
+/// The largest answer of the service, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Idle connections that are kept.
+const MAX_IDLE: usize = 4;
+
+/// A client of the service; clones share its connections.
+#[derive(Clone)]
+pub struct HttpLog {
+    connector: Connector,
+    timeout: Duration,
+    idle: Rc<RefCell<Vec<ClientConn>>>,
+}
+
+impl std::fmt::Debug for HttpLog {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpLog").field("address", &self.connector.address).finish_non_exhaustive()
+    }
+}
+
+/// Why an exchange failed, and whether its request had left.
+enum ExchangeError {
+    NotSent(WireError),
+    Sent(String),
+}
+
+impl HttpLog {
+    /// Makes a client; it connects when it is first used.
+    ///
+    /// `timeout` bounds connecting and each exchange.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self { connector: Connector { address, timeout }, timeout, idle: Rc::default() }
+    }
+
+    pub(crate) async fn append(&self, stream: Stream, data: String) -> Result<u64, AppendError> {
+        let uri = path(format!("/v1/streams/{}/records", stream.as_str()));
+        let answer = self.exchange(Method::POST, uri, data.into(), self.timeout).await;
+        let (status, body) = match answer {
+            Ok(answer) => answer,
+            Err(ExchangeError::NotSent(e)) => return Err(AppendError::NotAppended(e.to_string())),
+            Err(ExchangeError::Sent(e)) => return Err(AppendError::Unsettled(e)),
+        };
+        match status {
+            StatusCode::OK => {
+                parse::<Appended>(&body).map(|a| a.offset).map_err(AppendError::Unsettled)
+            }
+            // The service refuses these before it takes the record.
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(AppendError::NotAppended(format!("the log answered {status}")))
+            }
+            _ => Err(AppendError::Unsettled(format!("the log answered {status}"))),
+        }
+    }
+
+    pub(crate) async fn read(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Batch, ReadError> {
+        let name = stream.as_str();
+        let wait_ms = wait.as_millis();
+        let uri = path(format!("/v1/streams/{name}/records?from={from}&wait_ms={wait_ms}"));
+        let answer = self.exchange(Method::GET, uri, Bytes::new(), self.timeout + wait).await;
+        let (status, body) = answer.map_err(|e| match e {
+            ExchangeError::NotSent(e) => ReadError(e.to_string()),
+            ExchangeError::Sent(e) => ReadError(e),
+        })?;
+        if status != StatusCode::OK {
+            return Err(ReadError(format!("the log answered {status}")));
+        }
+        parse(&body).map_err(ReadError)
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        uri: Uri,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let idle = self.idle.borrow_mut().pop();
+        let mut conn = match idle {
+            Some(conn) => conn,
+            None => self.connector.connect().await.map_err(ExchangeError::NotSent)?,
+        };
+        let exchange = async {
+            conn.send(&method, &uri, &HeaderMap::new(), body).await?;
+            let head = conn.read_head(&method).await?;
+            let body = conn.read_body(MAX_ANSWER_BYTES).await?;
+            Ok::<_, WireError>((head.status(), body))
+        };
+        let answer = match timeout(within, exchange).await {
+            Ok(answer) => answer.map_err(|e| ExchangeError::Sent(e.to_string()))?,
+            Err(_) => {
+                // Others of the same age have probably gone silent, too.
+                self.idle.borrow_mut().clear();
+                return Err(ExchangeError::Sent("the log did not answer in time".to_owned()));
+            }
+        };
+        let mut idle = self.idle.borrow_mut();
+        if conn.is_reusable() && idle.len() < MAX_IDLE {
+            idle.push(conn);
+        }
+        Ok(answer)
+    }
+}
+
+fn path(text: String) -> Uri {
+    Uri::from_maybe_shared(text).expect("a stream's name is part of a valid path")
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|e| format!("unreadable answer of the log: {e}"))
+}
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,64 @@
+//! A log inside this process.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use monoio::time::{sleep, timeout};
+
+use crate::{Batch, LogRecord, Stream};
+
+/// The most records that one read returns.
+const MAX_BATCH: usize = 1024;
+/// How often a waiting read looks again.
+const POLL: Duration = Duration::from_millis(2);
+
+/// Keeps all records until the process ends; they are lost with it.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryLog {
+    streams: Rc<RefCell<HashMap<Stream, Vec<LogRecord>>>>,
+}
+
+impl MemoryLog {
+    pub(crate) fn append(&self, stream: Stream, data: String) -> u64 {
+        let mut streams = self.streams.borrow_mut();
+        let records = streams.entry(stream).or_default();
+        let offset = records.len() as u64 + 1;
+        records.push(LogRecord { offset, at_ms: unix_ms(), data });
+        offset
+    }
+
+    pub(crate) async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Batch {
+        let arrived = async {
+            while self.end(stream) <= from.max(1) {
+                sleep(POLL).await;
+            }
+        };
+        let _ = timeout(wait, arrived).await;
+        self.batch(stream, from)
+    }
+
+    fn end(&self, stream: Stream) -> u64 {
+        self.streams.borrow().get(&stream).map_or(0, Vec::len) as u64 + 1
+    }
+
+    fn batch(&self, stream: Stream, from: u64) -> Batch {
+        let streams = self.streams.borrow();
+        let from = from.max(1);
+        let records: Vec<LogRecord> = streams
+            .get(&stream)
+            .and_then(|records| records.get(from as usize - 1..))
+            .map(|rest| rest.iter().take(MAX_BATCH).cloned().collect())
+            .unwrap_or_default();
+        let next = from + records.len() as u64;
+        let end = streams.get(&stream).map_or(0, Vec::len) as u64 + 1;
+        Batch { records, next, oldest: 1, end }
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/replica/src/replica.rs
@@ -0,0 +1,247 @@
+//! The state that the configuration stream describes.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use baobabvane_domain::{
+    Catalog, Change, ChangeError, Entry, Event, InForce, Operation, Snapshot, Uuid,
+};
+
+use crate::audit::{AuditEntry, AuditTrail};
+
+/// Results of changes that are remembered for those who proposed them.
+const MAX_RESULTS: usize = 1024;
+
+/// What applying a record did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// Whether the configuration is another one now.
+    pub changed: bool,
+}
+
+/// How far an instance has applied the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Progress {
+    zone: String,
+    offset: u64,
+}
+
+/// The configuration in force, as of an offset of the log.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    catalog: Catalog,
+    next: u64,
+    changed_at: u64,
+    snapshot_at: u64,
+    /// Changes read while no snapshot was seen after a gap.
+    held: Option<Vec<(u64, Change)>>,
+    results: HashMap<Uuid, Result<u64, ChangeError>>,
+    result_order: VecDeque<Uuid>,
+    progress: BTreeMap<String, Progress>,
+    audit: AuditTrail,
+}
+
+impl Replica {
+    /// Makes a replica that starts at the log's first record.
+    pub fn new() -> Self {
+        Self { next: 1, ..Self::default() }
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Returns the offset at which to read on.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the offset of the last change in force.
+    pub fn changed_at(&self) -> u64 {
+        self.changed_at
+    }
+
+    /// Returns the offset of the last snapshot seen.
+    pub fn snapshot_at(&self) -> u64 {
+        self.snapshot_at
+    }
+
+    /// Says whether the configuration is known; not after a gap without a snapshot.
+    pub fn has_state(&self) -> bool {
+        self.held.is_none()
+    }
+
+    /// Returns the audit trail.
+    pub fn audit(&self) -> &AuditTrail {
+        &self.audit
+    }
+
+    /// Returns what became of a change.
+    pub fn result(&self, id: Uuid) -> Option<&Result<u64, ChangeError>> {
+        self.results.get(&id)
+    }
+
+    /// Lists the availability zones with an instance in `instances` that has not
+    /// applied the configuration up to the offset.
+    pub fn zones_missing<'a>(
+        &self,
+        offset: u64,
+        instances: impl IntoIterator<Item = (&'a str, &'a str)>,
+    ) -> BTreeSet<String> {
+        let behind = |instance: &str| self.progress.get(instance).is_none_or(|p| p.offset < offset);
+        let missing = instances.into_iter().filter(|(instance, _)| behind(instance));
+        missing.map(|(_, zone)| zone.to_owned()).collect()
+    }
+
+    /// Returns how far an instance has applied the configuration.
+    pub fn progress(&self, instance: &str) -> Option<u64> {
+        self.progress.get(instance).map(|p| p.offset)
+    }
+
+    /// Notes that the log no longer keeps records before `oldest`.
+    pub fn note_gap(&mut self, oldest: u64) {
+        if oldest > self.next {
+            self.held.get_or_insert_default();
+            self.next = oldest;
+        }
+    }
+
+    /// Applies the entries of one record; a record that was applied is ignored.
+    pub fn apply(&mut self, offset: u64, entries: &[Entry]) -> Applied {
+        if offset < self.next {
+            return Applied::default();
+        }
+        self.next = offset + 1;
+        let before = self.changed_at;
+        let snapshot_before = self.snapshot_at;
+        for entry in entries {
+            match entry {
+                Entry::Change(change) => self.take_change(offset, change),
+                Entry::InForce(in_force) => self.apply_in_force(in_force),
+                Entry::Event(event) => self.apply_event(offset, event),
+                Entry::Snapshot(snapshot) => self.apply_snapshot(offset, snapshot),
+                Entry::Claim(_) | Entry::Outcome(_) => {}
+            }
+        }
+        Applied { changed: before != self.changed_at || snapshot_before != self.snapshot_at }
+    }
+
+    fn take_change(&mut self, offset: u64, change: &Change) {
+        match &mut self.held {
+            Some(held) => held.push((offset, change.clone())),
+            None => self.apply_change(offset, change),
+        }
+    }
+
+    fn apply_change(&mut self, offset: u64, change: &Change) {
+        let before = self.catalog.get(&change.name).map(|r| r.spec.clone());
+        let result = self.catalog.apply(change, offset);
+        let (what, after) = match &change.operation {
+            Operation::Put(spec) => ("put", Some(spec.clone())),
+            Operation::Delete => ("delete", None),
+        };
+        if result.is_ok() {
+            self.changed_at = offset;
+        }
+        self.audit.push(AuditEntry {
+            offset,
+            at_ms: change.at_ms,
+            who: change.who.clone(),
+            what: what.to_owned(),
+            subject: change.name.to_string(),
+            before,
+            after,
+            result: match &result {
+                Ok(()) => "accepted".to_owned(),
+                Err(e) => e.to_string(),
+            },
+        });
+        self.remember(change.id, result.map(|()| offset));
+    }
+
+    fn apply_snapshot(&mut self, offset: u64, snapshot: &Snapshot) {
+        self.snapshot_at = offset;
+        let Some(held) = self.held.take() else { return };
+        self.catalog = snapshot.catalog.clone();
+        self.changed_at = self.changed_at.max(snapshot.as_of);
+        for (at, change) in held.iter().filter(|(at, _)| *at > snapshot.as_of) {
+            self.apply_change(*at, change);
+        }
+    }
+
+    fn apply_in_force(&mut self, in_force: &InForce) {
+        let progress = Progress { zone: in_force.zone.clone(), offset: in_force.offset };
+        self.progress.insert(in_force.instance.clone(), progress);
+    }
+
+    fn apply_event(&mut self, offset: u64, event: &Event) {
+        self.audit.push(AuditEntry {
+            offset,
+            at_ms: event.at_ms,
+            who: event.instance.clone(),
+            what: event.what.clone(),
+            subject: event.subject.clone(),
+            before: None,
+            after: None,
+            result: "noted".to_owned(),
+        });
+    }
+
+    fn remember(&mut self, id: Uuid, result: Result<u64, ChangeError>) {
+        if self.result_order.len() == MAX_RESULTS {
+            if let Some(oldest) = self.result_order.pop_front() {
+                self.results.remove(&oldest);
+            }
+        }
+        self.result_order.push_back(id);
+        self.results.insert(id, result);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use baobabvane_domain::{ResourceName, ResourceType, Spec, Tier};
+
+    use super::*;
+
+    fn put(id: u128, rank: u8) -> Entry {
+        let name = ResourceName { type_: ResourceType::Tier, name: format!("t{rank}") };
+        Entry::Change(Change {
+            id: Uuid::from_u128(id),
+            who: "test".to_owned(),
+            at_ms: 0,
+            name,
+            expected_version: None,
+            operation: Operation::Put(Spec::Tier(Tier { rank, floor_percent: 5 })),
+        })
+    }
+
+    #[test]
+    fn a_replica_that_starts_after_a_gap_equals_one_that_read_all() {
+        let mut whole = Replica::new();
+        whole.apply(1, &[put(1, 1)]);
+        whole.apply(2, &[put(2, 2)]);
+        let snapshot = Snapshot { as_of: 2, catalog: whole.catalog().clone() };
+        let rest = [(3, put(3, 3)), (4, Entry::Snapshot(snapshot)), (5, put(5, 5))];
+
+        let mut late = Replica::new();
+        late.note_gap(3);
+        assert!(!late.has_state());
+        for (offset, entry) in &rest {
+            whole.apply(*offset, std::slice::from_ref(entry));
+            late.apply(*offset, std::slice::from_ref(entry));
+        }
+        assert!(late.has_state());
+        assert_eq!(late.catalog(), whole.catalog());
+        assert_eq!(late.changed_at(), 5);
+    }
+
+    #[test]
+    fn an_old_record_changes_nothing() {
+        let mut replica = Replica::new();
+        replica.apply(1, &[put(1, 1)]);
+        replica.apply(2, &[put(2, 2)]);
+        assert_eq!(replica.apply(1, &[put(9, 9)]), Applied::default());
+        assert!(replica.catalog().tier("t9").is_none());
+    }
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,158 @@
+//! The client's side of a connection.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Response, Version, header};
+use monoio::{io::AsyncWriteRentExt, net::TcpStream, time::timeout};
+use monoio_codec::FramedRead;
+use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
+
+use crate::{
+    Request, WireError,
+    body::Body,
+    decode::{Framing, StrictHead, framing},
+    encode::{self, Length},
+    server::has_no_body,
+};
+
+/// The largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The largest chunk of an answer, in bytes.
+const MAX_CHUNK_BYTES: usize = 16 * 1024 * 1024;
+/// Bodies up to this size are sent together with the head.
+const JOINED_BODY_BYTES: usize = 16 * 1024;
+
+/// Opens connections to one address.
+#[derive(Clone, Copy, Debug)]
+pub struct Connector {
+    /// IP address and port.
+    pub address: SocketAddr,
+    /// How long connecting may take.
+    pub timeout: Duration,
+}
+
+impl Connector {
+    /// Opens a connection.
+    ///
+    /// An error means that no byte of a request has left.
+    pub async fn connect(&self) -> Result<ClientConn, WireError> {
+        let stream = timeout(self.timeout, TcpStream::connect_addr(self.address))
+            .await
+            .map_err(|_| WireError::TimedOut { doing: "connecting" })??;
+        Ok(ClientConn::new(stream, self.address))
+    }
+}
+
+/// A connection that we opened; it carries one exchange at a time.
+///
+/// A connection that is dropped before the end of an answer is closed, which
+/// cancels the work at a model engine.
+pub struct ClientConn {
+    framed: FramedRead<TcpStream, StrictHead<ResponseHeadDecoder>>,
+    host: HeaderValue,
+    body: Body,
+    reusable: bool,
+}
+
+impl ClientConn {
+    fn new(stream: TcpStream, address: SocketAddr) -> Self {
+        let _ = stream.set_nodelay(true);
+        let decoder = StrictHead::new(MAX_HEAD_BYTES);
+        let host =
+            HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
+        Self {
+            framed: FramedRead::with_capacity(stream, decoder, 0),
+            host,
+            body: Body::Done,
+            reusable: true,
+        }
+    }
+
+    /// Sends a request; afterwards it may have run, even when this fails.
+    pub async fn send(
+        &mut self,
+        method: &Method,
+        uri: &http::Uri,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<(), WireError> {
+        self.reusable = false;
+        let mut headers = headers.clone();
+        headers.insert(header::HOST, self.host.clone());
+        let mut buf = Vec::with_capacity(512);
+        encode::request_head(&mut buf, method, uri, &headers, Length::Known(body.len()));
+        if body.len() <= JOINED_BODY_BYTES {
+            buf.extend_from_slice(&body);
+            self.framed.get_mut().write_all(buf).await.0?;
+            return Ok(());
+        }
+        self.framed.get_mut().write_all(buf).await.0?;
+        self.framed.get_mut().write_all(body).await.0?;
+        Ok(())
+    }
+
+    /// Reads the head of the answer to the request that was sent last.
+    pub async fn read_head(&mut self, method: &Method) -> Result<Response<()>, WireError> {
+        loop {
+            let head = monoio::io::stream::Stream::next(&mut self.framed)
+                .await
+                .ok_or(WireError::UnexpectedEof)??;
+            if head.status.is_informational() {
+                continue;
+            }
+            let framing = match has_no_body(method, head.status) {
+                true => Framing::Empty,
+                false => framing(head.version, &head.headers)?,
+            };
+            self.body = Body::new(framing, MAX_CHUNK_BYTES);
+            self.reusable = may_reuse(head.version, &head.headers) && framing != Framing::Unstated;
+            return Ok(Response::from_parts(head, ()));
+        }
+    }
+
+    /// Returns the next piece of the answer, or `None` at its proper end.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
+        self.body.next(&mut self.framed).await
+    }
+
+    /// Reads the rest of the answer; `max_bytes` bounds it.
+    pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, WireError> {
+        self.body.collect(&mut self.framed, max_bytes).await
+    }
+
+    /// Says whether another request may be sent on the connection.
+    ///
+    /// False while an answer is unread, and when unasked bytes have arrived,
+    /// so that they can never be taken for the next answer.
+    pub fn is_reusable(&self) -> bool {
+        self.reusable && self.body.is_done() && self.framed.read_buffer().is_empty()
+    }
+
+    /// Resolves when the peer closes or sends something unasked on an idle connection.
+    pub async fn disturbed(&mut self) {
+        let _ = self.framed.peek_data().await;
+        self.reusable = false;
+    }
+}
+
+fn may_reuse(version: Version, headers: &HeaderMap) -> bool {
+    let closes = headers
+        .get(header::CONNECTION)
+        .is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"));
+    version == Version::HTTP_11 && !closes
+}
+
+/// Sends one request on a new connection and reads the whole answer.
+pub async fn fetch(
+    connector: Connector,
+    req: Request,
+    max_bytes: usize,
+) -> Result<Response<Bytes>, WireError> {
+    let mut conn = connector.connect().await?;
+    let (head, body) = req.into_parts();
+    conn.send(&head.method, &head.uri, &head.headers, body).await?;
+    let answer = conn.read_head(&head.method).await?;
+    let body = conn.read_body(max_bytes).await?;
+    Ok(answer.map(|()| body))
+}
--- /dev/null
+++ b/crates/wire/src/decode.rs
@@ -0,0 +1,211 @@
+//! Decoders that check a head before the library parses it.
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Version, header};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, DecodeError};
+
+use crate::WireError;
+
+/// The library decodes at most this many headers.
+const MAX_HEADERS: usize = 96;
+
+/// Bounds the size of a head and refuses bare line feeds.
+///
+/// The library's parser takes a bare line feed for a line's end but searches
+/// the head's end by `\r\n\r\n`, so that bytes between the two would be lost.
+pub(crate) struct StrictHead<D> {
+    inner: D,
+    max_bytes: usize,
+}
+
+impl<D: Default> StrictHead<D> {
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self { inner: D::default(), max_bytes }
+    }
+}
+
+impl<D: Decoder<Error = DecodeError>> Decoder for StrictHead<D> {
+    type Item = D::Item;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, WireError> {
+        let too_large = WireError::HeadTooLarge { limit: self.max_bytes };
+        let Some(end) = find_head_end(src) else {
+            if src.len() > self.max_bytes {
+                return Err(too_large);
+            }
+            return Ok(Decoded::Insufficient);
+        };
+        if end > self.max_bytes {
+            return Err(too_large);
+        }
+        if count_lines(&src[..end])? > MAX_HEADERS + 1 {
+            return Err(too_large);
+        }
+        Ok(self.inner.decode(src)?)
+    }
+}
+
+fn find_head_end(src: &[u8]) -> Option<usize> {
+    src.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
+}
+
+fn count_lines(head: &[u8]) -> Result<usize, WireError> {
+    let mut lines = 0;
+    let mut previous = 0;
+    for &byte in head {
+        if byte == b'\n' && previous != b'\r' {
+            return Err(WireError::Malformed("bare line feed in the head".to_owned()));
+        }
+        lines += usize::from(byte == b'\n');
+        previous = byte;
+    }
+    Ok(lines.saturating_sub(1))
+}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// There is no body.
+    Empty,
+    /// The body has this many bytes.
+    Length(usize),
+    /// The body ends with an empty chunk.
+    Chunked,
+    /// Nothing states the length.
+    Unstated,
+}
+
+/// Reads the framing of a message, refusing what two readers could read differently.
+pub(crate) fn framing(version: Version, headers: &HeaderMap) -> Result<Framing, WireError> {
+    let coded = headers.contains_key(header::TRANSFER_ENCODING);
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    if lengths.next().is_some() {
+        return Err(WireError::Framing("more than one Content-Length"));
+    }
+    match (coded, length) {
+        (true, Some(_)) => Err(WireError::Framing("both Content-Length and Transfer-Encoding")),
+        (true, None) => coded_framing(version, headers),
+        (false, Some(length)) => length_framing(length.as_bytes()),
+        (false, None) => Ok(Framing::Unstated),
+    }
+}
+
+fn coded_framing(version: Version, headers: &HeaderMap) -> Result<Framing, WireError> {
+    if version != Version::HTTP_11 {
+        return Err(WireError::Framing("Transfer-Encoding before HTTP/1.1"));
+    }
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let only = codings.next().is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    if only && codings.next().is_none() {
+        return Ok(Framing::Chunked);
+    }
+    Err(WireError::Framing("Transfer-Encoding other than chunked"))
+}
+
+fn length_framing(length: &[u8]) -> Result<Framing, WireError> {
+    let wrong = WireError::Framing("Content-Length is not a number");
+    if length.is_empty() || !length.iter().all(u8::is_ascii_digit) {
+        return Err(wrong);
+    }
+    match std::str::from_utf8(length).ok().and_then(|l| l.parse().ok()) {
+        Some(0) => Ok(Framing::Empty),
+        Some(length) => Ok(Framing::Length(length)),
+        None => Err(wrong),
+    }
+}
+
+/// Takes what has arrived of a body of known length.
+pub(crate) struct Take {
+    pub(crate) remaining: usize,
+}
+
+impl Decoder for Take {
+    type Item = Bytes;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Bytes>, WireError> {
+        let piece = src.split_to(self.remaining.min(src.len())).freeze();
+        self.remaining -= piece.len();
+        Ok(Decoded::Some(piece))
+    }
+
+    fn decode_eof(&mut self, _: &mut BytesMut) -> Result<Decoded<Bytes>, WireError> {
+        Err(WireError::UnexpectedEof)
+    }
+}
+
+/// Decodes chunks of bounded size.
+pub(crate) struct BoundedChunks {
+    inner: ChunkedBodyDecoder,
+    max_bytes: usize,
+}
+
+/// Room for the line that states a chunk's size.
+const CHUNK_LINE_BYTES: usize = 32;
+
+impl BoundedChunks {
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self { inner: ChunkedBodyDecoder::default(), max_bytes }
+    }
+}
+
+impl Decoder for BoundedChunks {
+    type Item = Option<Bytes>;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Option<Bytes>>, WireError> {
+        let before = src.len();
+        match self.inner.decode(src)? {
+            Decoded::Some(chunk) => Ok(Decoded::Some(chunk)),
+            _ if before > self.max_bytes + CHUNK_LINE_BYTES => {
+                Err(WireError::BodyTooLarge { limit: self.max_bytes })
+            }
+            other => Ok(other),
+        }
+    }
+
+    fn decode_eof(&mut self, _: &mut BytesMut) -> Result<Decoded<Option<Bytes>>, WireError> {
+        Err(WireError::UnexpectedEof)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use http::HeaderValue;
+
+    use super::*;
+
+    fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        for (name, value) in pairs {
+            headers.append(*name, HeaderValue::from_static(value));
+        }
+        headers
+    }
+
+    #[test]
+    fn ambiguous_lengths_are_refused() {
+        let cases: [&[(&str, &str)]; 5] = [
+            &[("content-length", "4"), ("transfer-encoding", "chunked")],
+            &[("content-length", "4"), ("content-length", "5")],
+            &[("content-length", "+4")],
+            &[("transfer-encoding", "gzip, chunked")],
+            &[("transfer-encoding", "chunked"), ("transfer-encoding", "identity")],
+        ];
+        for case in cases {
+            assert!(framing(Version::HTTP_11, &headers(case)).is_err(), "{case:?}");
+        }
+        assert!(framing(Version::HTTP_10, &headers(&[("transfer-encoding", "chunked")])).is_err());
+    }
+
+    #[test]
+    fn a_chunk_over_the_limit_is_refused_before_it_has_arrived() {
+        let mut src = BytesMut::from("fffff\r\n");
+        src.extend_from_slice(&[b'x'; 64]);
+        let err = BoundedChunks::new(16).decode(&mut src).unwrap_err();
+        assert_eq!(err.to_string(), "body is over 16 bytes");
+    }
+}
--- /dev/null
+++ b/crates/wire/src/encode.rs
@@ -0,0 +1,69 @@
+//! Writes heads and chunks.
+//!
+//! The library's encoder sends a streamed body only when 8 KiB have gathered,
+//! so that tokens would wait; this one leaves the moment of sending to its user.
+
+use std::io::Write;
+
+use http::{HeaderMap, Method, StatusCode, Uri, header};
+
+/// How the length of a body is stated.
+#[derive(Clone, Copy)]
+pub(crate) enum Length {
+    Known(usize),
+    Chunked,
+    None,
+}
+
+pub(crate) fn request_head(
+    buf: &mut Vec<u8>,
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+    length: Length,
+) {
+    let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    put(buf, format_args!("{method} {path} HTTP/1.1\r\n"));
+    finish_head(buf, headers, length);
+}
+
+pub(crate) fn response_head(
+    buf: &mut Vec<u8>,
+    status: StatusCode,
+    headers: &HeaderMap,
+    length: Length,
+) {
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    put(buf, format_args!("HTTP/1.1 {} {reason}\r\n", status.as_u16()));
+    finish_head(buf, headers, length);
+}
+
+pub(crate) fn chunk(buf: &mut Vec<u8>, data: &[u8]) {
+    put(buf, format_args!("{:x}\r\n", data.len()));
+    buf.extend_from_slice(data);
+    buf.extend_from_slice(b"\r\n");
+}
+
+pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+fn finish_head(buf: &mut Vec<u8>, headers: &HeaderMap, length: Length) {
+    match length {
+        Length::Known(bytes) => put(buf, format_args!("content-length: {bytes}\r\n")),
+        Length::Chunked => put(buf, format_args!("transfer-encoding: chunked\r\n")),
+        Length::None => {}
+    }
+    for (name, value) in headers {
+        if name == header::CONTENT_LENGTH || name == header::TRANSFER_ENCODING {
+            continue;
+        }
+        buf.extend_from_slice(name.as_str().as_bytes());
+        buf.extend_from_slice(b": ");
+        buf.extend_from_slice(value.as_bytes());
+        buf.extend_from_slice(b"\r\n");
+    }
+    buf.extend_from_slice(b"\r\n");
+}
+
+fn put(buf: &mut Vec<u8>, args: std::fmt::Arguments<'_>) {
+    buf.write_fmt(args).expect("writing to a Vec cannot fail");
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,271 @@
+//! The server's side of a connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
+use monoio::{
+    io::{AsyncWriteRent, AsyncWriteRentExt},
+    net::TcpStream,
+    time::timeout,
+};
+use monoio_codec::FramedRead;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
+
+use crate::{
+    Request, WireError,
+    body::Body,
+    decode::{Framing, StrictHead, framing},
+    encode::{self, LAST_CHUNK, Length},
+};
+
+/// Bounds what a peer may make the server hold and wait for.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The largest head, in bytes.
+    pub head_bytes: usize,
+    /// The largest body, in bytes.
+    pub body_bytes: usize,
+    /// How long a connection may be silent between requests.
+    pub idle: Duration,
+    /// How long a head may take from its first byte.
+    pub head: Duration,
+    /// How long a body may take.
+    pub body: Duration,
+    /// How long the peer may take to accept a write.
+    pub write: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            idle: Duration::from_secs(75),
+            head: Duration::from_secs(10),
+            body: Duration::from_secs(60),
+            write: Duration::from_secs(60),
+        }
+    }
+}
+
+/// A connection that a peer opened to us; it carries one exchange at a time.
+pub struct ServerConn {
+    framed: FramedRead<TcpStream, StrictHead<RequestHeadDecoder>>,
+    limits: Limits,
+    keep_alive: bool,
+    buf: Vec<u8>,
+}
+
+impl ServerConn {
+    /// Takes over an accepted connection.
+    pub fn new(stream: TcpStream, limits: Limits) -> Self {
+        // Without it each small chunk of a stream waits for the peer's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let decoder = StrictHead::new(limits.head_bytes);
+        // No buffer until the first byte: an idle connection costs little memory.
+        let framed = FramedRead::with_capacity(stream, decoder, 0);
+        Self { framed, limits, keep_alive: true, buf: Vec::new() }
+    }
+
+    /// Reads a request with its whole body.
+    ///
+    /// Returns `None` when the peer closed or stayed silent between requests.
+    pub async fn read_request(&mut self) -> Result<Option<Request>, WireError> {
+        if !self.keep_alive {
+            return Ok(None);
+        }
+        if self.framed.read_buffer().is_empty() {
+            match timeout(self.limits.idle, self.framed.get_ref().readable(false)).await {
+                Ok(ready) => ready?,
+                Err(_) => return Ok(None),
+            }
+        }
+        let head = match timeout(self.limits.head, self.framed.next_head()).await {
+            Ok(None) => return self.closed_between_requests(),
+            Ok(Some(head)) => head?,
+            Err(_) => return Err(WireError::TimedOut { doing: "reading the head" }),
+        };
+        let framing = match framing(head.version, &head.headers)? {
+            Framing::Unstated => Framing::Empty,
+            stated => stated,
+        };
+        self.keep_alive = wants_keep_alive(head.version, &head.headers);
+        self.check_announced(framing)?;
+        self.invite_body(&head.headers, framing).await?;
+        let mut body = Body::new(framing, self.limits.body_bytes);
+        let collect = body.collect(&mut self.framed, self.limits.body_bytes);
+        let body = match timeout(self.limits.body, collect).await {
+            Ok(body) => body?,
+            Err(_) => return Err(WireError::TimedOut { doing: "reading the body" }),
+        };
+        Ok(Some(Request::from_parts(head, body)))
+    }
+
+    /// Writes a whole response.
+    pub async fn write_response(&mut self, res: Response<Bytes>) -> Result<(), WireError> {
+        let (mut head, body) = res.into_parts();
+        self.mark_close(&mut head.headers);
+        let mut buf = std::mem::take(&mut self.buf);
+        let length = match head.status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Length::None,
+            _ => Length::Known(body.len()),
+        };
+        encode::response_head(&mut buf, head.status, &head.headers, length);
+        buf.extend_from_slice(&body);
+        self.write_all(buf).await
+    }
+
+    /// Writes the head of a streamed response; chunks follow.
+    pub async fn start_stream(&mut self, mut head: Response<()>) -> Result<(), WireError> {
+        self.mark_close(head.headers_mut());
+        let mut buf = std::mem::take(&mut self.buf);
+        encode::response_head(&mut buf, head.status(), head.headers(), Length::Chunked);
+        self.write_all(buf).await
+    }
+
+    /// Writes one chunk and sends it at once; an empty one is left out.
+    pub async fn write_chunk(&mut self, data: &[u8]) -> Result<(), WireError> {
+        if data.is_empty() {
+            return Ok(());
+        }
+        let mut buf = std::mem::take(&mut self.buf);
+        encode::chunk(&mut buf, data);
+        self.write_all(buf).await
+    }
+
+    /// Ends a streamed response properly.
+    pub async fn end_stream(&mut self) -> Result<(), WireError> {
+        let mut buf = std::mem::take(&mut self.buf);
+        buf.extend_from_slice(LAST_CHUNK);
+        self.write_all(buf).await
+    }
+
+    /// Makes the next response the last one on the connection.
+    pub fn close_after_response(&mut self) {
+        self.keep_alive = false;
+    }
+
+    /// Says whether another request may follow.
+    pub fn is_keep_alive(&self) -> bool {
+        self.keep_alive
+    }
+
+    /// Resolves when the peer has gone away; never when it sends more.
+    pub async fn closed(&mut self) {
+        let gone = match self.framed.peek_data().await {
+            Ok(data) => data.is_empty(),
+            Err(_) => true,
+        };
+        if !gone {
+            futures_pending().await;
+        }
+    }
+
+    /// Ends the connection after an error response, so that the peer can read it.
+    ///
+    /// Closing with unread bytes would reset the connection and could destroy
+    /// the response on its way, so some of what still arrives is read first.
+    pub async fn linger(mut self) {
+        let _ = self.framed.get_mut().shutdown().await;
+        let drain = async {
+            for _ in 0..LINGER_READS {
+                self.framed.read_buffer_mut().clear();
+                match self.framed.peek_data().await {
+                    Ok(data) if !data.is_empty() => {}
+                    _ => break,
+                }
+            }
+        };
+        let _ = timeout(LINGER, drain).await;
+    }
+
+    fn closed_between_requests(&self) -> Result<Option<Request>, WireError> {
+        if self.framed.read_buffer().is_empty() {
+            return Ok(None);
+        }
+        Err(WireError::UnexpectedEof)
+    }
+
+    fn check_announced(&self, framing: Framing) -> Result<(), WireError> {
+        match framing {
+            Framing::Length(length) if length > self.limits.body_bytes => {
+                Err(WireError::BodyTooLarge { limit: self.limits.body_bytes })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn invite_body(
+        &mut self,
+        headers: &HeaderMap,
+        framing: Framing,
+    ) -> Result<(), WireError> {
+        let expects = headers
+            .get(header::EXPECT)
+            .is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+        if expects && framing != Framing::Empty {
+            self.write_all(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()).await?;
+        }
+        Ok(())
+    }
+
+    fn mark_close(&self, headers: &mut HeaderMap) {
+        headers.remove(header::CONNECTION);
+        if !self.keep_alive {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
+    async fn write_all(&mut self, buf: Vec<u8>) -> Result<(), WireError> {
+        let write = self.framed.get_mut().write_all(buf);
+        let Ok((result, mut buf)) = timeout(self.limits.write, write).await else {
+            return Err(WireError::TimedOut { doing: "writing the response" });
+        };
+        buf.clear();
+        if buf.capacity() <= KEPT_BUFFER_BYTES {
+            self.buf = buf;
+        }
+        result?;
+        Ok(())
+    }
+}
+
+const LINGER: Duration = Duration::from_secs(2);
+const LINGER_READS: usize = 256;
+const KEPT_BUFFER_BYTES: usize = 4096;
+
+/// Reads a head; a trait only to name the framed reader's `next` without its import.
+trait NextHead {
+    type Head;
+    async fn next_head(&mut self) -> Option<Result<Self::Head, WireError>>;
+}
+
+impl NextHead for FramedRead<TcpStream, StrictHead<RequestHeadDecoder>> {
+    type Head = http::request::Parts;
+
+    async fn next_head(&mut self) -> Option<Result<Self::Head, WireError>> {
+        monoio::io::stream::Stream::next(self).await
+    }
+}
+
+fn wants_keep_alive(version: Version, headers: &HeaderMap) -> bool {
+    let connection = headers.get(header::CONNECTION).and_then(|c| c.to_str().ok()).unwrap_or("");
+    let has = |token: &str| connection.split(',').any(|t| t.trim().eq_ignore_ascii_case(token));
+    match version {
+        Version::HTTP_11 => !has("close"),
+        _ => has("keep-alive"),
+    }
+}
+
+async fn futures_pending() {
+    std::future::pending::<()>().await;
+}
+
+/// Says whether a response to the method has no body, whatever its headers say.
+pub(crate) fn has_no_body(method: &Method, status: StatusCode) -> bool {
+    method == Method::HEAD
+        || status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+}
