--- /dev/null
+++ b/crates/ctl/src/manifest.rs
@@ -0,0 +1,137 @@
+//! Files with resources, in TOML or JSON; see [configure](../../../guide/configure.md).
+
+use std::{fs, path::Path};
+
+use baobabvane_domain::{ResourceName, ResourceType, Spec};
+use serde_json::{Map, Value};
+use thiserror::Error;
+
+/// What is wrong with a file.
+#[derive(Debug, Error)]
+pub enum ManifestError {
+    /// The file cannot be read.
+    #[error("{file}: {source}")]
+    Read {
+        /// The file.
+        file: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is neither TOML nor JSON.
+    #[error("{file}: {reason}")]
+    Syntax {
+        /// The file.
+        file: String,
+        /// Where and why.
+        reason: String,
+    },
+    /// A key is wrong.
+    #[error("{file}: {key}: {reason}")]
+    Key {
+        /// The file.
+        file: String,
+        /// The key, from the top of the file.
+        key: String,
+        /// What is wrong and what is allowed.
+        reason: String,
+    },
+}
+
+/// The resources of a file, in the order in which they may refer to each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Manifest {
+    resources: Vec<(ResourceName, Spec)>,
+}
+
+impl Manifest {
+    /// Reads a file; one whose name ends in `.json` is JSON, others are TOML.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key and what is allowed.
+    pub fn load(path: &Path) -> Result<Self, ManifestError> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|source| ManifestError::Read { file: file.clone(), source })?;
+        let is_json = path.extension().is_some_and(|e| e == "json");
+        Self::parse(&file, &text, is_json)
+    }
+
+    /// Reads a text; `file` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key and what is allowed.
+    pub fn parse(file: &str, text: &str, is_json: bool) -> Result<Self, ManifestError> {
+        let syntax = |reason: String| ManifestError::Syntax { file: file.to_owned(), reason };
+        let value: Map<String, Value> = if is_json {
+            serde_json::from_str(text).map_err(|e| syntax(e.to_string()))?
+        } else {
+            toml::from_str(text).map_err(|e| syntax(e.to_string().trim_end().to_owned()))?
+        };
+        let mut resources = Vec::new();
+        for (type_, named) in value {
+            resources.extend(parse_type(file, &type_, named)?);
+        }
+        resources.sort_by(|(a, _), (b, _)| a.cmp(b));
+        Ok(Self { resources })
+    }
+
+    /// Lists the resources.
+    pub fn resources(&self) -> impl Iterator<Item = (&ResourceName, &Spec)> {
+        self.resources.iter().map(|(name, spec)| (name, spec))
+    }
+}
+
+fn parse_type(
+    file: &str,
+    type_: &str,
+    named: Value,
+) -> Result<Vec<(ResourceName, Spec)>, ManifestError> {
+    let wrong =
+        |key: String, reason: String| ManifestError::Key { file: file.to_owned(), key, reason };
+    let Some(known) = ResourceType::parse(type_) else {
+        let allowed: Vec<_> = ResourceType::ALL.iter().map(|t| t.as_str()).collect();
+        let reason = format!("unknown type, allowed: {}", allowed.join(", "));
+        return Err(wrong(type_.to_owned(), reason));
+    };
+    let Value::Object(named) = named else {
+        return Err(wrong(type_.to_owned(), "expected a table of names".to_owned()));
+    };
+    let parse = |(name, value): (String, Value)| {
+        let spec = Spec::from_json(known, value)
+            .map_err(|reason| wrong(format!("{type_}.{name}"), reason))?;
+        Ok((ResourceName { type_: known, name }, spec))
+    };
+    named.into_iter().map(parse).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn error(text: &str) -> String {
+        Manifest::parse("a.toml", text, false).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn an_error_names_file_key_and_what_is_allowed() {
+        assert_eq!(
+            error("[tier.urgent]\nrnk = 0"),
+            "a.toml: tier.urgent: unknown field `rnk`, expected `rank` or `floor_percent`"
+        );
+        assert_eq!(
+            error("[team.a]\nx = 0"),
+            "a.toml: team: unknown type, allowed: tier, kind, organisation, endpoint"
+        );
+    }
+
+    #[test]
+    fn tiers_come_before_the_kinds_that_refer_to_them() {
+        let text = "[kind.quote]\ntier='urgent'\npool='p'\nprotocol='plain'\nidempotent=true\n\
+                    [tier.urgent]\nrank=0";
+        let manifest = Manifest::parse("a.toml", text, false).unwrap();
+        let names: Vec<_> = manifest.resources().map(|(n, _)| n.to_string()).collect();
+        assert_eq!(names, ["tier \"urgent\"", "kind \"quote\""]);
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/table.rs
@@ -0,0 +1,43 @@
+//! Tables for people.
+
+use std::fmt;
+
+/// Rows of text under a head, in aligned columns.
+#[derive(Clone, Debug)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Makes a table with the names of its columns.
+    pub fn new(head: &[&str]) -> Self {
+        Self { rows: vec![head.iter().map(|s| (*s).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        self.rows.push(cells.into_iter().collect());
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |c: usize| {
+            self.rows.iter().filter_map(|row| row.get(c)).map(|cell| cell.chars().count()).max()
+        };
+        (0..columns).map(|c| width(c).unwrap_or(0)).collect()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for row in &self.rows {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                line.push_str(&format!("{cell:<width$}  "));
+            }
+            writeln!(f, "{}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -15,7 +15,7 @@
         Refusal, Ticket, Why,
     },
     learn::{Average, Rate},
-    policy::{Placement, Policy},
+    policy::{Placement, Policy, TierPolicy},
     prefix::PrefixIndex,
     queue::{Queue, Waiting},
     shed::{Pool, Shedder},
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Sets what the tiers keep, by rank, after a change of the configuration.
+    pub fn set_tiers(&mut self, tiers: Vec<TierPolicy>) {
+        self.policy.tiers = tiers;
+    }
+
     /// Takes an event; time may not run backwards.
     pub fn handle(&mut self, now: Millis, event: Event) {
         self.now = now.max(self.now);
@@ -159,7 +164,7 @@
             Event::CacheStored(key, blocks) => self.prefixes.store(key, &blocks),
             Event::CacheDropped(key, blocks) => self.prefixes.drop_blocks(key, &blocks),
             Event::NeighbourRoom(room) => self.neighbour_room = room,
-            Event::Tick => self.open_silent(),
+            Event::Tick => self.tick(),
         }
         self.pump();
     }
@@ -336,7 +341,8 @@
         let why = self.why(waiting.descriptor.rank, waiting.since);
         let Waiting { descriptor: req, cost, .. } = waiting;
         let key = placed.choice.endpoint;
-        let sent = self.endpoints[key].send(self.now, placed.unread_tokens, placed.is_long);
+        let sent =
+            self.endpoints[key].send(self.now, placed.unread_tokens, placed.is_long, req.streamed);
         self.prefixes.store(key, &req.prefix);
         let now = self.now;
         self.dispatched.add(now, cost);
@@ -428,24 +434,24 @@
     }
 
     fn end(&mut self, ticket: Ticket, ending: Ending) {
-        let Some(flight) = self.flights.remove(&ticket) else { return };
+        let Some(mut flight) = self.flights.remove(&ticket) else { return };
         let now = self.now;
         self.tier_demand(flight.rank).change(now, -1);
         let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
         match ending {
             Ending::Whole { answer_tokens } => {
-                endpoint.finish(self.now, &flight.sent, answer_tokens);
+                endpoint.finish(self.now, &mut flight.sent, answer_tokens);
                 self.decode_ms.add(endpoint.decode_ms());
                 self.learn_whole(&flight, answer_tokens);
             }
             Ending::Failed => {
-                endpoint.release(&flight.sent);
+                endpoint.release(&mut flight.sent);
                 if self.policy.breaker {
                     endpoint.breaker.failed(self.now);
                 }
             }
             Ending::Lost | Ending::Cancelled => {
-                endpoint.release(&flight.sent);
+                endpoint.release(&mut flight.sent);
                 endpoint.breaker.probe_ended();
             }
         }
@@ -498,10 +504,15 @@
         }
     }
 
-    fn open_silent(&mut self) {
+    fn tick(&mut self) {
         for demand in &mut self.demand {
             demand.settle(self.now);
         }
+        for flight in self.flights.values_mut() {
+            if let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) {
+                endpoint.presume_read(self.now, &mut flight.sent);
+            }
+        }
         if !self.policy.breaker {
             return;
         }
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -34,6 +34,10 @@
     pub(crate) unread_tokens: u32,
     pub(crate) ahead_tokens: u32,
     pub(crate) is_long: bool,
+    /// Whether the start of the answer will be seen.
+    pub(crate) streamed: bool,
+    /// Whether the prompt is taken to be read.
+    pub(crate) is_read: bool,
     pub(crate) first_token_at: Option<Millis>,
 }
 
@@ -48,6 +52,7 @@
     in_flight: u32,
     unread_tokens: u32,
     long_prefills: u32,
+    awaited_first_tokens: u32,
     base_ms: Average,
     prefill_ms: Average,
     decode_ms: Average,
@@ -92,6 +97,7 @@
             in_flight: 0,
             unread_tokens: 0,
             long_prefills: 0,
+            awaited_first_tokens: 0,
             base_ms: Average::new(PRIOR_BASE_MS, LEARN_STEP),
             prefill_ms: Average::new(PRIOR_PREFILL_MS, LEARN_STEP),
             decode_ms: Average::new(PRIOR_DECODE_MS, LEARN_STEP),
@@ -160,18 +166,27 @@
         self.base_ms.get()
     }
 
-    pub(crate) fn send(&mut self, now: Millis, unread_tokens: u32, is_long: bool) -> Sent {
+    pub(crate) fn send(
+        &mut self,
+        now: Millis,
+        unread_tokens: u32,
+        is_long: bool,
+        streamed: bool,
+    ) -> Sent {
         let sent = Sent {
             at: now,
             expected_ms: self.first_token_ms(unread_tokens),
             unread_tokens,
             ahead_tokens: self.unread_tokens,
             is_long,
+            streamed,
+            is_read: false,
             first_token_at: None,
         };
-        if self.in_flight == 0 {
+        if self.awaited_first_tokens == 0 {
             self.heard_at = now;
         }
+        self.awaited_first_tokens += u32::from(streamed);
         self.in_flight += 1;
         self.unread_tokens += unread_tokens;
         self.long_prefills += u32::from(is_long);
@@ -186,6 +201,7 @@
         }
         sent.first_token_at = Some(now);
         self.finish_prefill(sent);
+        self.awaited_first_tokens -= u32::from(sent.streamed);
         self.heard_at = now;
         self.breaker.succeeded();
         let seen = now - sent.at;
@@ -193,7 +209,7 @@
         self.learn_first_token(sent, seen);
     }
 
-    pub(crate) fn finish(&mut self, now: Millis, sent: &Sent, answer_tokens: u32) {
+    pub(crate) fn finish(&mut self, now: Millis, sent: &mut Sent, answer_tokens: u32) {
         self.release(sent);
         self.heard_at = now;
         self.breaker.succeeded();
@@ -204,9 +220,17 @@
     }
 
     /// Takes back a request that ended without a whole answer.
-    pub(crate) fn release(&mut self, sent: &Sent) {
+    pub(crate) fn release(&mut self, sent: &mut Sent) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.finish_prefill(sent);
         if sent.first_token_at.is_none() {
+            self.awaited_first_tokens -= u32::from(sent.streamed);
+        }
+    }
+
+    /// Takes the prompt of an answer whose start is not seen to be read by now.
+    pub(crate) fn presume_read(&mut self, now: Millis, sent: &mut Sent) {
+        if !sent.streamed && now > sent.at + sent.expected_ms {
             self.finish_prefill(sent);
         }
     }
@@ -217,17 +241,21 @@
         self.foreign_at = now - report.age_ms;
     }
 
-    /// Says whether the endpoint holds requests and has said nothing for too long.
+    /// Says whether the endpoint owes a first token and has said nothing for too long.
     pub(crate) fn is_silent(&self, now: Millis) -> bool {
         let expected = self.first_token_ms(0);
-        self.in_flight > 0 && now - self.heard_at > SILENCE_MS + SILENCE_FACTOR * expected
+        self.awaited_first_tokens > 0
+            && now - self.heard_at > SILENCE_MS + SILENCE_FACTOR * expected
     }
 
     pub(crate) fn hear(&mut self, now: Millis) {
         self.heard_at = now;
     }
 
-    fn finish_prefill(&mut self, sent: &Sent) {
+    fn finish_prefill(&mut self, sent: &mut Sent) {
+        if std::mem::replace(&mut sent.is_read, true) {
+            return;
+        }
         self.unread_tokens = self.unread_tokens.saturating_sub(sent.unread_tokens);
         self.long_prefills = self.long_prefills.saturating_sub(u32::from(sent.is_long));
     }
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -49,6 +49,8 @@
     pub prefix: PrefixBlocks,
     /// When the caller stops waiting for the answer's end.
     pub deadline: Millis,
+    /// Whether the driver will tell when the answer begins.
+    pub streamed: bool,
     /// Whether this is a repeat after a failed dispatch; repeats have a budget.
     pub retry: bool,
 }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -267,6 +267,7 @@
             answer_tokens: 1,
             prefix: smallvec![],
             deadline: 1000.0,
+            streamed: true,
             retry: false,
         };
         let waiting = Waiting { descriptor, since: 0.0, cost, latest_start: 500.0 };
--- a/crates/domain/src/resource.rs
+++ b/crates/domain/src/resource.rs
@@ -195,6 +195,9 @@
     }
 
     /// Parses the spec of a known type, naming the offending key in the error.
+    ///
+    /// An organisation's `api_keys` are replaced by their hashes, so that the
+    /// keys themselves are never kept.
     pub fn from_json(type_: ResourceType, value: serde_json::Value) -> Result<Self, String> {
         fn parse<T: serde::de::DeserializeOwned>(value: serde_json::Value) -> Result<T, String> {
             serde_json::from_value(value).map_err(|e| e.to_string())
@@ -202,12 +205,25 @@
         Ok(match type_ {
             ResourceType::Tier => Self::Tier(parse(value)?),
             ResourceType::Kind => Self::Kind(parse(value)?),
-            ResourceType::Organisation => Self::Organisation(parse(value)?),
+            ResourceType::Organisation => Self::Organisation(parse(hash_api_keys(value)?)?),
             ResourceType::Endpoint => Self::Endpoint(parse(value)?),
         })
     }
 }
 
+fn hash_api_keys(mut value: serde_json::Value) -> Result<serde_json::Value, String> {
+    let Some(members) = value.as_object_mut() else { return Ok(value) };
+    let Some(keys) = members.remove("api_keys") else { return Ok(value) };
+    let keys: Vec<String> = serde_json::from_value(keys).map_err(|e| format!("api_keys: {e}"))?;
+    let hashes = keys.into_iter().map(|key| crate::hash_api_key(key).into());
+    let all = members.entry("key_hashes").or_insert_with(|| serde_json::Value::Array(Vec::new()));
+    match all.as_array_mut() {
+        Some(all) => all.extend(hashes),
+        None => return Err("key_hashes: expected an array".to_owned()),
+    }
+    Ok(value)
+}
+
 /// A resource with the version that its last accepted change gave it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resource {
--- /dev/null
+++ b/crates/entry/examples/quickstart.rs
@@ -0,0 +1,223 @@
+//! Runs the whole path on this machine and prints what each caller got.
+//!
+//! `cargo run --release --example quickstart`
+
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    net::SocketAddr,
+    path::Path,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use baobabvane::{Daemon, Settings, StopHandle};
+use baobabvane_domain::{Endpoint, Spec, Uuid};
+use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Received, Service};
+use baobabvanectl::{Manifest, OperatorClient, Table};
+use futures::future::join_all;
+use monoio::time::sleep;
+use serde_json::json;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+const CALLER_KEY: &str = "naran-market-key";
+const OPERATOR_TOKEN: &str = "quickstart-token";
+const QUOTES: usize = 40;
+
+/// An entry instance on a thread of its own.
+struct Instance {
+    name: &'static str,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    stop: StopHandle,
+    thread: JoinHandle<usize>,
+}
+
+impl Instance {
+    fn spawn(name: &'static str, zone: &str, log: SocketAddr) -> Result<Self> {
+        let args = Settings::args();
+        let flags = clap::Command::new("quickstart").args(args).get_matches_from([
+            "quickstart",
+            "--name",
+            name,
+            "--zone",
+            zone,
+            "--listen",
+            "127.0.0.1:0",
+            "--operator-listen",
+            "127.0.0.1:0",
+            "--log",
+            &log.to_string(),
+            "--operator-tokens",
+            &format!("ann={OPERATOR_TOKEN}"),
+        ]);
+        let settings = Settings::from_args(&flags)?;
+        let (tx, rx) = std::sync::mpsc::channel();
+        let thread = thread::spawn(move || {
+            runtime().block_on(async move {
+                let daemon = Daemon::bind(settings).expect("port 0 is free");
+                let addresses = (daemon.caller_address(), daemon.operator_address());
+                let _ = tx.send((addresses, daemon.stop_handle()));
+                daemon.serve().until_stopped().await
+            })
+        });
+        let ((callers, operators), stop) = rx.recv()?;
+        Ok(Self { name, callers: callers?, operators: operators?, stop, thread })
+    }
+}
+
+fn runtime() -> monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>> {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime needs only a descriptor")
+}
+
+fn main() -> Result<()> {
+    if std::env::var_os("RUST_LOG").is_some() {
+        baobabvane::install_logger();
+    }
+    let log = LogService::spawn();
+    let fast = Engine::spawn(EngineSpeed { prefill_us: 50, decode_us: 4_000 });
+    let slow = Engine::spawn(EngineSpeed { prefill_us: 200, decode_us: 12_000 });
+    let bookings = Service::spawn();
+    let instances = [
+        Instance::spawn("entry-a", "zone-a", log.address())?,
+        Instance::spawn("entry-b", "zone-b", log.address())?,
+    ];
+    let endpoints = [
+        ("advice-fast", fast.address()),
+        ("advice-slow", slow.address()),
+        ("bookings", bookings.address()),
+    ];
+    runtime().block_on(async {
+        apply(&instances, &endpoints).await?;
+        call(&instances, &bookings).await
+    })?;
+    println!("log: {} appends; bookings executed: {}", log.appends(), bookings.calls());
+    for instance in instances {
+        instance.stop.stop();
+        let cut = instance.thread.join().expect("an instance does not panic");
+        println!("{} stopped, {cut} requests cut off", instance.name);
+    }
+    Ok(())
+}
+
+/// Applies the configuration file through the first instance's operators' API.
+async fn apply(instances: &[Instance], endpoints: &[(&str, SocketAddr)]) -> Result<()> {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/quickstart.toml");
+    let manifest = Manifest::load(&file)?;
+    let client = OperatorClient::new(instances[0].operators, OPERATOR_TOKEN)?;
+    while client.get("/readyz").await.is_err_and(|e| e.to_string().contains("not ready")) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let mut table = Table::new(&["RESOURCE", "VERSION", "STATE"]);
+    for (name, spec) in manifest.resources() {
+        let address = endpoints.iter().find(|(n, _)| *n == name.name).map(|(_, a)| *a);
+        let spec = match (spec, address) {
+            (Spec::Endpoint(e), Some(address)) => Spec::Endpoint(Endpoint { address, ..e.clone() }),
+            (spec, _) => spec.clone(),
+        };
+        let answer = client.put(name, &spec, None).await?;
+        let state = answer["state"].as_str().unwrap_or("?").to_owned();
+        table.row([name.to_string(), answer["version"].to_string(), state]);
+    }
+    println!("configuration applied through {}:\n{table}", instances[0].name);
+    // The second instance reads the same records from the log.
+    let second = OperatorClient::new(instances[1].operators, OPERATOR_TOKEN)?;
+    while second.get("/v1/endpoints/bookings").await.is_err() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
+/// What callers got, by tier.
+#[derive(Default)]
+struct Goodput {
+    by_tier: BTreeMap<&'static str, (usize, usize)>,
+}
+
+impl Goodput {
+    fn count(&mut self, tier: &'static str, received: &Received) {
+        let (good, all) = self.by_tier.entry(tier).or_default();
+        *all += 1;
+        *good += usize::from(received.status.is_success());
+    }
+
+    fn print(&self) {
+        let mut table = Table::new(&["TIER", "ANSWERED IN TIME", "OF"]);
+        for (tier, (good, all)) in &self.by_tier {
+            table.row([(*tier).to_owned(), good.to_string(), all.to_string()]);
+        }
+        println!("goodput by tier:\n{table}");
+    }
+}
+
+async fn call(instances: &[Instance], bookings: &Service) -> Result<()> {
+    let [a, b] = [0, 1].map(|n| Caller::new(instances[n].callers, CALLER_KEY));
+    let mut goodput = Goodput::default();
+
+    let assessment = json!({"model": "assessment", "max_tokens": 400,
+        "messages": [{"role": "user", "content": "Seam damage on an awning. ".repeat(400)}]});
+    let long = a.post("/v1/chat/completions", &assessment);
+    let quote = |n: usize| {
+        json!({"model": "quote", "max_tokens": 20,
+            "messages": [{"role": "user", "content": format!("Quote for awning {n}")}]})
+    };
+    let quotes = join_all((0..QUOTES).map(|n| {
+        let caller = if n % 2 == 0 { a.clone() } else { b.clone() };
+        let body = quote(n);
+        async move { caller.post("/v1/chat/completions", &body).await }
+    }));
+    let (long, quotes) = futures::join!(long, quotes);
+    let long = long?;
+    println!("assessment: {} after {:?}, {}", long.status, long.whole, long.verdict());
+    goodput.count("patient", &long);
+    let mut slowest = Duration::ZERO;
+    for (n, quote) in quotes.into_iter().enumerate() {
+        let quote = quote?;
+        let text = quote.json()["choices"][0]["message"]["content"].to_string();
+        assert!(text.contains(&format!("awning {n}")), "answer of another request: {text}");
+        slowest = slowest.max(quote.whole);
+        goodput.count("urgent", &quote);
+    }
+    println!("quotes: {QUOTES} answered, each its own; the slowest took {slowest:?}");
+
+    let mut streamed = quote(QUOTES);
+    streamed["stream"] = json!(true);
+    let streamed = b.post("/v1/chat/completions", &streamed).await?;
+    let events = String::from_utf8_lossy(&streamed.body).matches("data:").count();
+    println!(
+        "streamed quote: {events} events, the first after {:?}, the last after {:?}",
+        streamed.first_byte, streamed.whole
+    );
+    goodput.count("urgent", &streamed);
+    book(&a, &b, &mut goodput).await?;
+    println!("executions by key: {:?}\n", bookings.executions().values().collect::<Vec<_>>());
+    goodput.print();
+    Ok(())
+}
+
+/// Books once and repeats with the same key, through the same and another instance.
+async fn book(a: &Caller, b: &Caller, goodput: &mut Goodput) -> Result<()> {
+    let key = Uuid::now_v7().to_string();
+    let order = json!({"stall": 12, "day": "Thursday"});
+    for (name, caller) in
+        [("first", a), ("repeat, same instance", a), ("repeat, other instance", b)]
+    {
+        let caller = caller.clone().with("idempotency-key", &key);
+        let booked = caller.post("/v1/kinds/booking/orders", &order).await?;
+        let replayed = booked.header("baobabvane-replayed");
+        println!(
+            "booking ({name}): {} number {}, verdict {}, replayed {:?}, request {}",
+            booked.status,
+            booked.json()["number"],
+            booked.verdict(),
+            replayed,
+            booked.header("baobabvane-request-id"),
+        );
+        goodput.count("normal", &booked);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,13 @@
+//! The callers' side: connections, routes and answers.
+
+mod admission;
+mod chat;
+mod connection;
+mod context;
+mod keyed;
+mod plain;
+mod run;
+mod sse;
+
+pub(crate) use connection::{accept, problem_response};
+pub(crate) use context::Context;
--- /dev/null
+++ b/crates/entry/src/caller/connection.rs
@@ -0,0 +1,193 @@
+//! A caller's connection: reads requests one after the other and routes them.
+
+use std::rc::Rc;
+
+use baobabvane_domain::{PROBLEM_MEDIA_TYPE, Problem, Verdict};
+use baobabvane_wire::{Request as HttpRequest, Response, ServerConn, WireError};
+use bytes::Bytes;
+use http::{HeaderValue, Method, StatusCode, header};
+use monoio::net::{TcpListener, TcpStream};
+
+use crate::{
+    caller::{Context, chat, context::Counted, keyed, plain},
+    request::{Received, Request, RequestId},
+};
+
+/// Names the request in every answer.
+pub(crate) const REQUEST_ID: &str = "baobabvane-request-id";
+/// Says in every answer whether the request ran.
+pub(crate) const VERDICT: &str = "baobabvane-verdict";
+
+/// What was made of a request.
+pub(crate) enum Reply {
+    /// To be written as a whole.
+    Whole(Response),
+    /// Was streamed to its proper end.
+    Streamed,
+    /// Cannot be finished; the connection has to be closed.
+    Broken,
+}
+
+/// Accepts connections until the listener is dropped with the daemon.
+pub(crate) async fn accept(listener: TcpListener, cx: Rc<Context>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if cx.connections.get() < cx.settings.max_connections => {
+                monoio::spawn(serve(stream, Rc::clone(&cx)));
+            }
+            Ok((stream, _)) => {
+                drop(stream);
+                metrics::counter!("baobabvane_connections_refused_total").increment(1);
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed error={:?}", e.to_string());
+                monoio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, cx: Rc<Context>) {
+    let _counted = Counted::new(&cx.connections);
+    let mut conn = ServerConn::new(stream, cx.settings.wire_limits());
+    loop {
+        let req = match conn.read_request().await {
+            Ok(Some(req)) => req,
+            Ok(None) => return,
+            Err(e) => return refuse_unreadable(conn, &e).await,
+        };
+        let _active = Counted::new(&cx.active);
+        if cx.draining.get() {
+            conn.close_after_response();
+        }
+        let written = match answer(&cx, &mut conn, req).await {
+            Reply::Whole(res) => conn.write_response(res).await.is_ok(),
+            Reply::Streamed => true,
+            Reply::Broken => false,
+        };
+        if !written {
+            return;
+        }
+        if !conn.is_keep_alive() {
+            return conn.linger().await;
+        }
+    }
+}
+
+async fn refuse_unreadable(mut conn: ServerConn, error: &WireError) {
+    let (status, title) = match error {
+        WireError::HeadTooLarge { .. } => (431, "head too large"),
+        WireError::BodyTooLarge { .. } => (413, "body too large"),
+        WireError::TimedOut { .. } => (408, "request too slow"),
+        WireError::Malformed(_) | WireError::Framing(_) => (400, "malformed request"),
+        WireError::Io(_) | WireError::UnexpectedEof => return,
+    };
+    let id = RequestId::new();
+    log::info!(
+        "event=request_unreadable request_id={id} status={status} error={:?}",
+        error.to_string()
+    );
+    conn.close_after_response();
+    let problem = Problem::not_run(status, title, error.to_string());
+    if conn.write_response(problem_response(problem, id)).await.is_ok() {
+        conn.linger().await;
+    }
+}
+
+async fn answer(cx: &Rc<Context>, conn: &mut ServerConn, req: HttpRequest) -> Reply {
+    let life = Request::receive(RequestId::new());
+    let id = life.id();
+    match route(cx, conn, req, life).await {
+        Ok(Reply::Whole(mut res)) => {
+            add_headers(&mut res, id);
+            Reply::Whole(res)
+        }
+        Ok(other) => other,
+        Err(problem) => {
+            let (status, verdict) = (problem.status, problem.verdict);
+            log::info!(
+                "event=request_failed request_id={id} status={status} verdict={verdict} title={:?} detail={:?}",
+                problem.title,
+                problem.detail
+            );
+            count_problem(&problem);
+            Reply::Whole(problem_response(problem, id))
+        }
+    }
+}
+
+async fn route(
+    cx: &Rc<Context>,
+    conn: &mut ServerConn,
+    req: HttpRequest,
+    life: Request<Received>,
+) -> Result<Reply, Problem> {
+    let path = req.uri().path().to_owned();
+    match path.as_str() {
+        "/livez" => return Ok(Reply::Whole(text(200, "live\n"))),
+        "/readyz" if cx.is_ready() => return Ok(Reply::Whole(text(200, "ready\n"))),
+        "/readyz" => return Ok(Reply::Whole(text(503, "not ready\n"))),
+        _ => {}
+    }
+    if cx.draining.get() {
+        return Err(Problem::not_run(503, "draining", "the instance is stopping").retry_after(1));
+    }
+    if !cx.has_configuration.get() {
+        let detail = "the instance does not know the configuration yet";
+        return Err(Problem::not_run(503, "not ready", detail).retry_after(1));
+    }
+    if path == "/v1/chat/completions" {
+        return match *req.method() {
+            Method::POST => chat::answer(cx, conn, req, life).await,
+            _ => Err(Problem::not_run(405, "method not allowed", "allowed: POST")),
+        };
+    }
+    if let Some(rest) = path.strip_prefix("/v1/kinds/") {
+        let (kind, _) = rest.split_once('/').unwrap_or((rest, ""));
+        return plain::answer(cx, conn, req, life, kind).await;
+    }
+    if let Some(key) = path.strip_prefix("/v1/requests/") {
+        return keyed::outcome(cx, &req, key).await;
+    }
+    let detail = format!("path {path:?} does not exist");
+    Err(Problem::not_run(404, "not found", detail))
+}
+
+fn count_problem(problem: &Problem) {
+    let labels = [("status", problem.status.to_string()), ("verdict", problem.verdict.to_string())];
+    metrics::counter!("baobabvane_problems_total", &labels).increment(1);
+}
+
+fn add_headers(res: &mut Response, id: RequestId) {
+    let id = HeaderValue::try_from(id.to_string()).expect("an id is hexadecimal");
+    res.headers_mut().insert(REQUEST_ID, id);
+}
+
+/// Marks a response with the verdict.
+pub(crate) fn add_verdict(res: &mut http::HeaderMap, verdict: Verdict) {
+    res.insert(VERDICT, HeaderValue::from_static(verdict.as_str()));
+}
+
+/// Makes the response of a problem.
+pub(crate) fn problem_response(mut problem: Problem, id: RequestId) -> Response {
+    problem.request_id = id.to_string();
+    let body = serde_json::to_vec(&problem).expect("a problem has string keys only");
+    let mut res = Response::new(Bytes::from(body));
+    *res.status_mut() =
+        StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = res.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_MEDIA_TYPE));
+    if let Some(seconds) = problem.retry_after_s {
+        headers.insert(header::RETRY_AFTER, seconds.into());
+    }
+    add_verdict(headers, problem.verdict);
+    add_headers(&mut res, id);
+    res
+}
+
+fn text(status: u16, body: &'static str) -> Response {
+    let mut res = Response::new(Bytes::from_static(body.as_bytes()));
+    *res.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    res.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    res
+}
--- /dev/null
+++ b/crates/entry/src/caller/sse.rs
@@ -0,0 +1,58 @@
+//! Watches a stream of server-sent events for its length and its proper end.
+
+/// What the last event of a chat stream says.
+const DONE: &[u8] = b"data: [DONE]";
+const DATA: &[u8] = b"data:";
+
+/// Counts the events of a stream without changing it.
+#[derive(Debug, Default)]
+pub(crate) struct EventCounter {
+    line: Vec<u8>,
+    events: u32,
+    done: bool,
+}
+
+impl EventCounter {
+    pub(crate) fn feed(&mut self, data: &[u8]) {
+        for &byte in data {
+            if byte == b'\n' {
+                self.end_line();
+            } else if self.line.len() < DONE.len() + 1 {
+                self.line.push(byte);
+            }
+        }
+    }
+
+    /// Returns how many events carried data, which is about the number of tokens.
+    pub(crate) fn events(&self) -> u32 {
+        self.events
+    }
+
+    /// Says whether the stream said that it was complete.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done
+    }
+
+    fn end_line(&mut self) {
+        if self.line.trim_ascii_end() == DONE {
+            self.done = true;
+        } else if self.line.starts_with(DATA) {
+            self.events += 1;
+        }
+        self.line.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_are_counted_across_pieces() {
+        let mut counter = EventCounter::default();
+        for piece in ["data: {\"a\"", ":1}\n\nda", "ta: {}\n\ndata: [DO", "NE]\r\n\r\n"] {
+            counter.feed(piece.as_bytes());
+        }
+        assert_eq!((counter.events(), counter.is_done()), (2, true));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,195 @@
+//! Joins the parts of an entry instance and takes it through its life.
+
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use baobabvane_domain::{Incarnation, Uuid};
+use baobabvane_platform::{HttpLog, LogClient, MemoryLog};
+use monoio::{
+    net::{ListenerOpts, TcpListener},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    caller,
+    journal::Journal,
+    operator::{self, OperatorContext},
+    settings::Settings,
+    tasks::{claimant, configurator, scheduler},
+    telemetry,
+    view::Published,
+};
+
+/// How often the daemon looks whether it should stop or has finished.
+const POLL: Duration = Duration::from_millis(10);
+/// Outcomes of the last requests are given this long to reach the log.
+const LAST_OUTCOMES: Duration = Duration::from_millis(300);
+
+/// An entry instance in a state of its life.
+pub struct Daemon<S> {
+    settings: Rc<Settings>,
+    stop: StopHandle,
+    state: S,
+}
+
+/// The sockets are bound; nothing is served yet.
+pub struct Starting {
+    callers: TcpListener,
+    operators: TcpListener,
+}
+
+/// Callers and operators are served.
+pub struct Serving {
+    cx: Rc<caller::Context>,
+    stop_by_operator: Rc<Cell<bool>>,
+}
+
+/// Asks a daemon to stop, from any thread or signal handler.
+#[derive(Clone, Debug, Default)]
+pub struct StopHandle {
+    flag: Arc<AtomicBool>,
+}
+
+impl StopHandle {
+    /// Asks for a graceful stop.
+    pub fn stop(&self) {
+        self.flag.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the flag that a signal handler may set.
+    pub fn flag(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.flag)
+    }
+
+    fn is_set(&self) -> bool {
+        self.flag.load(Ordering::Relaxed)
+    }
+}
+
+impl Daemon<Starting> {
+    /// Binds the sockets, so that an address in use is an error before anything starts.
+    pub fn bind(settings: Settings) -> io::Result<Self> {
+        let opts = ListenerOpts::new().backlog(4096).reuse_port(false);
+        let bind = |address: SocketAddr| {
+            TcpListener::bind_with_config(address, &opts)
+                .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+        };
+        let state = Starting {
+            callers: bind(settings.listen)?,
+            operators: bind(settings.operator_listen)?,
+        };
+        Ok(Self { settings: Rc::new(settings), stop: StopHandle::default(), state })
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> io::Result<SocketAddr> {
+        self.state.callers.local_addr()
+    }
+
+    /// Returns where operators connect.
+    pub fn operator_address(&self) -> io::Result<SocketAddr> {
+        self.state.operators.local_addr()
+    }
+
+    /// Starts the tasks and begins to serve.
+    pub fn serve(self) -> Daemon<Serving> {
+        let Self { settings, stop, state } = self;
+        let incarnation = Incarnation(Uuid::new_v4());
+        let log = open_log(&settings);
+        let metrics = telemetry::install_metrics();
+        let published = Published::default();
+        let has_configuration = Rc::new(Cell::new(false));
+        let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
+        let scheduler = scheduler::spawn(settings.zone.clone(), connect_timeout);
+        let claimant = claimant::spawn(log.clone(), &settings, incarnation);
+        let configurator = configurator::spawn(
+            log,
+            Rc::clone(&settings),
+            published.clone(),
+            scheduler.clone(),
+            Rc::clone(&has_configuration),
+        );
+        let cx = Rc::new(caller::Context {
+            settings: Rc::clone(&settings),
+            published,
+            scheduler,
+            claimant,
+            journal: Journal::default(),
+            has_configuration,
+            draining: Cell::new(false),
+            active: Cell::new(0),
+            connections: Cell::new(0),
+            tickets: Cell::new(0),
+        });
+        let stop_by_operator = Rc::new(Cell::new(false));
+        let operator_cx = Rc::new(OperatorContext {
+            caller: Rc::clone(&cx),
+            configurator,
+            metrics,
+            stop: Rc::clone(&stop_by_operator),
+        });
+        monoio::spawn(caller::accept(state.callers, Rc::clone(&cx)));
+        monoio::spawn(operator::accept(state.operators, operator_cx));
+        log::info!(
+            "event=serving instance={} zone={} incarnation={}",
+            settings.name,
+            settings.zone,
+            incarnation.0
+        );
+        Daemon { settings, stop, state: Serving { cx, stop_by_operator } }
+    }
+}
+
+impl<S> Daemon<S> {
+    /// Returns the handle that stops the daemon.
+    pub fn stop_handle(&self) -> StopHandle {
+        self.stop.clone()
+    }
+}
+
+impl Daemon<Serving> {
+    /// Serves until a stop is asked for, then until the last running answer is whole.
+    ///
+    /// Returns how many requests were cut off because the drain time ran out.
+    pub async fn until_stopped(self) -> usize {
+        let Serving { cx, stop_by_operator } = &self.state;
+        while !self.stop.is_set() && !stop_by_operator.get() {
+            sleep(POLL).await;
+        }
+        cx.draining.set(true);
+        log::info!("event=draining active={}", cx.active.get());
+        let drain = Duration::from_millis(self.settings.drain_timeout_ms);
+        let deadline = Instant::now() + drain;
+        while cx.active.get() > 0 && Instant::now() < deadline {
+            sleep(POLL).await;
+        }
+        sleep(LAST_OUTCOMES).await;
+        let cut = cx.active.get();
+        log::info!("event=stopped cut={cut}");
+        cut
+    }
+}
+
+fn open_log(settings: &Settings) -> LogClient {
+    match settings.log {
+        Some(address) => {
+            let timeout = Duration::from_millis(settings.log_timeout_ms);
+            LogClient::Http(HttpLog::new(address, timeout))
+        }
+        None => {
+            log::warn!(
+                "event=log_in_memory detail=\"configuration and claims are lost when this process ends\""
+            );
+            LogClient::Memory(MemoryLog::default())
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,30 @@
+//! The entry instance: stands between callers and endpoints.
+//!
+//! A request travels through these modules:
+//! - `caller` reads it from the caller's connection, checks it and answers it;
+//! - `request` is its life cycle, whose stage decides the verdict of a failure;
+//! - `tasks` own what is shared: the scheduler the decision cores, the claimant
+//!   the ledger, the configurator the replica;
+//! - `link` sends it to the endpoint that was granted.
+//!
+//! `operator` serves the operators' API, `settings` holds what is set at start,
+//! and [`Daemon`] joins all of them. See [the design](../../../docs/DESIGN.md).
 
+mod caller;
+mod clock;
+mod daemon;
+mod journal;
+mod link;
+mod message;
+mod operator;
+mod prompt;
+mod request;
+mod settings;
+mod tasks;
+mod telemetry;
+mod view;
+
+pub use daemon::{Daemon, Serving, Starting, StopHandle};
+pub use message::Mailbox;
+pub use settings::{Peer, Settings, SettingsError};
+pub use telemetry::install_logger;
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,22 @@
+//! The operators' side: resources, audit, status, explanations and metrics.
+
+mod connection;
+mod resources;
+mod watch;
+
+use std::{cell::Cell, rc::Rc};
+
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::{caller, message::Mailbox, tasks::configurator::ToConfigurator};
+
+pub(crate) use connection::accept;
+
+/// What every connection of an operator needs.
+pub(crate) struct OperatorContext {
+    pub(crate) caller: Rc<caller::Context>,
+    pub(crate) configurator: Mailbox<ToConfigurator>,
+    pub(crate) metrics: PrometheusHandle,
+    /// Set to stop the instance.
+    pub(crate) stop: Rc<Cell<bool>>,
+}
--- /dev/null
+++ b/crates/entry/src/operator/connection.rs
@@ -0,0 +1,182 @@
+//! An operator's connection: checks the token and routes.
+
+use std::rc::Rc;
+
+use baobabvane_domain::{Problem, ResourceType};
+use baobabvane_wire::{Request as HttpRequest, Response, ServerConn};
+use bytes::Bytes;
+use http::{HeaderValue, Method, StatusCode, header};
+use monoio::net::{TcpListener, TcpStream};
+use serde::Serialize;
+
+use crate::{
+    caller::problem_response,
+    operator::{OperatorContext, resources, watch},
+    request::RequestId,
+    settings::Operator,
+    tasks::{configurator::ToConfigurator, scheduler::ToScheduler},
+};
+
+/// Accepts connections until the listener is dropped with the daemon.
+pub(crate) async fn accept(listener: TcpListener, cx: Rc<OperatorContext>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve(stream, Rc::clone(&cx)));
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed error={:?}", e.to_string());
+                monoio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, cx: Rc<OperatorContext>) {
+    let mut conn = ServerConn::new(stream, cx.caller.settings.wire_limits());
+    while let Ok(Some(req)) = conn.read_request().await {
+        let id = RequestId::new();
+        if req.uri().path() == "/v1/watch" && authorise(&cx, &req).is_ok() {
+            return watch::stream(&cx, &mut conn, &req).await;
+        }
+        let res = route(&cx, req).await.unwrap_or_else(|problem| problem_response(problem, id));
+        if conn.write_response(res).await.is_err() || !conn.is_keep_alive() {
+            return;
+        }
+    }
+}
+
+async fn route(cx: &OperatorContext, req: HttpRequest) -> Result<Response, Problem> {
+    let path = req.uri().path().to_owned();
+    match path.as_str() {
+        "/metrics" => return Ok(text(200, cx.metrics.render())),
+        "/livez" => return Ok(text(200, "live\n")),
+        "/readyz" if cx.caller.is_ready() => return Ok(text(200, "ready\n")),
+        "/readyz" => return Ok(text(503, "not ready\n")),
+        _ => {}
+    }
+    let operator = authorise(cx, &req)?;
+    match path.as_str() {
+        "/v1/status" => status(cx).await,
+        "/v1/audit" => audit(cx).await,
+        "/v1/drain" => drain(cx, &req, &operator),
+        _ => match path.strip_prefix("/v1/explain/") {
+            Some(id) => explain(cx, id),
+            None => resource(cx, &req, &operator, &path).await,
+        },
+    }
+}
+
+fn authorise(cx: &OperatorContext, req: &HttpRequest) -> Result<Operator, Problem> {
+    let token = req
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let hash = token.map(baobabvane_domain::hash_api_key);
+    let known = cx.caller.settings.operators.iter().find(|o| Some(&o.token_hash) == hash.as_ref());
+    known
+        .cloned()
+        .ok_or_else(|| Problem::not_run(401, "unauthorised", "an operator's token is needed"))
+}
+
+async fn resource(
+    cx: &OperatorContext,
+    req: &HttpRequest,
+    operator: &Operator,
+    path: &str,
+) -> Result<Response, Problem> {
+    let not_found = || Problem::not_run(404, "not found", format!("path {path:?} does not exist"));
+    let rest = path.strip_prefix("/v1/").ok_or_else(not_found)?;
+    let (type_, name) = rest.split_once('/').unwrap_or((rest, ""));
+    let type_ = ResourceType::parse(type_).ok_or_else(not_found)?;
+    match (req.method(), name) {
+        (&Method::GET, "") => resources::list(cx, type_),
+        (&Method::GET, name) => resources::read(cx, type_, name),
+        (&Method::POST, "") => resources::create(cx, type_, req, operator).await,
+        (&Method::PUT, name) if !name.is_empty() => {
+            resources::put(cx, type_, name, req, operator).await
+        }
+        (&Method::DELETE, name) if !name.is_empty() => {
+            resources::delete(cx, type_, name, req, operator).await
+        }
+        _ => Err(Problem::not_run(405, "method not allowed", "allowed: GET, POST, PUT, DELETE")),
+    }
+}
+
+#[derive(Serialize)]
+struct Status<'a> {
+    instance: &'a str,
+    zone: &'a str,
+    ready: bool,
+    draining: bool,
+    active_requests: usize,
+    connections: usize,
+    configuration: crate::tasks::configurator::ConfigStatus,
+    pools: Vec<crate::tasks::scheduler::PoolStatus>,
+}
+
+async fn status(cx: &OperatorContext) -> Result<Response, Problem> {
+    let configuration = cx.configurator.ask(ToConfigurator::Status).await.ok_or_else(stopping)?;
+    let pools = cx.caller.scheduler.ask(ToScheduler::Status).await.ok_or_else(stopping)?;
+    let status = Status {
+        instance: &cx.caller.settings.name,
+        zone: &cx.caller.settings.zone,
+        ready: cx.caller.is_ready(),
+        draining: cx.caller.draining.get(),
+        active_requests: cx.caller.active.get(),
+        connections: cx.caller.connections.get(),
+        configuration,
+        pools,
+    };
+    Ok(json(200, &status))
+}
+
+async fn audit(cx: &OperatorContext) -> Result<Response, Problem> {
+    let entries = cx.configurator.ask(ToConfigurator::Audit).await.ok_or_else(stopping)?;
+    Ok(json(200, &serde_json::json!({ "items": entries })))
+}
+
+fn drain(
+    cx: &OperatorContext,
+    req: &HttpRequest,
+    operator: &Operator,
+) -> Result<Response, Problem> {
+    if req.method() != Method::POST {
+        return Err(Problem::not_run(405, "method not allowed", "allowed: POST"));
+    }
+    log::info!("event=drain_requested operator={}", operator.name);
+    cx.stop.set(true);
+    Ok(json(202, &serde_json::json!({ "draining": true })))
+}
+
+fn explain(cx: &OperatorContext, id: &str) -> Result<Response, Problem> {
+    match cx.caller.journal.get(id) {
+        Some(decision) => Ok(json(200, &decision)),
+        None => {
+            let detail = format!("request {id:?} is not among the latest of this instance");
+            Err(Problem::not_run(404, "unknown request", detail))
+        }
+    }
+}
+
+pub(crate) fn stopping() -> Problem {
+    Problem::not_run(503, "stopping", "the instance is stopping")
+}
+
+/// Makes a response with a JSON body.
+pub(crate) fn json(status: u16, value: &impl Serialize) -> Response {
+    let body = serde_json::to_vec(value).expect("the value has string keys only");
+    response(status, "application/json", body.into())
+}
+
+fn text(status: u16, body: impl Into<Bytes>) -> Response {
+    response(status, "text/plain; version=0.0.4", body.into())
+}
+
+fn response(status: u16, content_type: &'static str, body: Bytes) -> Response {
+    let mut res = Response::new(body);
+    *res.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    res.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res
+}
--- /dev/null
+++ b/crates/entry/src/prompt.rs
@@ -0,0 +1,114 @@
+//! Reads what the decision needs from a chat request.
+
+use baobabvane_decide::PrefixBlocks;
+use bytes::Bytes;
+use serde_json::Value;
+
+use crate::tasks::scheduler::BLOCK_TOKENS;
+
+/// Bytes of text in a token, on average.
+const BYTES_PER_TOKEN: usize = 4;
+/// The most blocks of a prompt that are hashed.
+const MAX_BLOCKS: usize = 256;
+
+/// A chat request as the decision sees it.
+#[derive(Debug)]
+pub(crate) struct Prompt {
+    pub(crate) model: String,
+    pub(crate) stream: bool,
+    pub(crate) max_tokens: Option<u32>,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) prefix: PrefixBlocks,
+    value: Value,
+}
+
+impl Prompt {
+    /// Parses a body; the error says what is wrong with it.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, String> {
+        let value: Value =
+            serde_json::from_slice(body).map_err(|e| format!("body is not JSON: {e}"))?;
+        let model = match value.get("model") {
+            Some(Value::String(model)) => model.clone(),
+            _ => return Err("member \"model\" must be a string".to_owned()),
+        };
+        let Some(Value::Array(messages)) = value.get("messages") else {
+            return Err("member \"messages\" must be an array".to_owned());
+        };
+        let text: Vec<u8> = messages.iter().flat_map(message_text).collect();
+        let limit = |name| value.get(name).and_then(Value::as_u64).map(|n| n.min(u32::MAX.into()));
+        Ok(Self {
+            model,
+            stream: value.get("stream").and_then(Value::as_bool).unwrap_or(false),
+            max_tokens: limit("max_completion_tokens").or(limit("max_tokens")).map(|n| n as u32),
+            prompt_tokens: text.len().div_ceil(BYTES_PER_TOKEN) as u32,
+            prefix: hash_blocks(&text),
+            value,
+        })
+    }
+
+    /// Returns the body with the model's name that the endpoint knows.
+    pub(crate) fn body_for(mut self, original: Bytes, model: &str) -> Bytes {
+        if self.model == model {
+            return original;
+        }
+        self.value["model"] = Value::String(model.to_owned());
+        self.value.to_string().into()
+    }
+}
+
+/// Returns a message's role and text, with separators that texts cannot imitate.
+fn message_text(message: &Value) -> Vec<u8> {
+    let mut text = Vec::new();
+    for member in ["role", "content"] {
+        match message.get(member) {
+            Some(Value::String(s)) => text.extend_from_slice(s.as_bytes()),
+            Some(other) => text.extend_from_slice(other.to_string().as_bytes()),
+            None => {}
+        }
+        text.push(0);
+    }
+    text
+}
+
+/// Hashes whole blocks, each together with all before it.
+fn hash_blocks(text: &[u8]) -> PrefixBlocks {
+    let block_bytes = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+    let mut hasher = blake3::Hasher::new();
+    let mut hash = |block: &[u8]| {
+        hasher.update(block);
+        let mut first = [0; 8];
+        hasher.finalize_xof().fill(&mut first);
+        u64::from_le_bytes(first)
+    };
+    text.chunks_exact(block_bytes).take(MAX_BLOCKS).map(&mut hash).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn prompt(text: &str) -> Prompt {
+        let body = serde_json::json!({
+            "model": "m", "messages": [{"role": "user", "content": text}]
+        });
+        Prompt::parse(body.to_string().as_bytes()).unwrap()
+    }
+
+    #[test]
+    fn prompts_share_the_hashes_of_their_common_blocks() {
+        let history = "x".repeat(2500);
+        let (a, b) = (
+            prompt(&format!("{history}{}", "a".repeat(900))),
+            prompt(&format!("{history}{}", "b".repeat(900))),
+        );
+        assert_eq!(a.prefix.len(), 3);
+        assert_eq!(a.prefix[..2], b.prefix[..2]);
+        assert_ne!(a.prefix[2], b.prefix[2]);
+    }
+
+    #[test]
+    fn an_error_names_the_member() {
+        let err = Prompt::parse(br#"{"model": 4}"#).unwrap_err();
+        assert_eq!(err, "member \"model\" must be a string");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,360 @@
+//! What is set at start, by flags and environment variables.
+
+use std::{net::SocketAddr, str::FromStr, time::Duration};
+
+use baobabvane_wire::Limits;
+use clap::{Arg, ArgMatches, value_parser};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A setting that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{flag} {value:?} is not valid, allowed: {allowed}")]
+pub struct SettingsError {
+    /// The flag, as it is written on the command line.
+    pub flag: &'static str,
+    /// What it was set to.
+    pub value: String,
+    /// What it can be set to.
+    pub allowed: String,
+}
+
+/// Another entry instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+}
+
+/// An operator with a token.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// The name that the audit trail shows.
+    pub name: String,
+    /// A hash of the token, as [`baobabvane_domain::hash_api_key`] makes it.
+    pub token_hash: String,
+}
+
+/// All settings of an entry instance; times are in milliseconds, sizes in bytes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The instance's name, unique in the fleet.
+    pub name: String,
+    /// The availability zone that it is in.
+    pub zone: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub operator_listen: SocketAddr,
+    /// The platform's log; none means a log inside this process.
+    pub log: Option<SocketAddr>,
+    /// The other instances.
+    pub peers: Vec<Peer>,
+    /// Who may use the operators' API.
+    pub operators: Vec<Operator>,
+    /// How long the log may take to answer.
+    pub log_timeout_ms: u64,
+    /// The least time between two appends of claims.
+    pub claim_interval_ms: u64,
+    /// How long a key may be used after its time of issue.
+    pub key_max_age_ms: u64,
+    /// The largest head of a request.
+    pub head_bytes: usize,
+    /// The largest body of a request.
+    pub body_bytes: usize,
+    /// How long a head may take.
+    pub head_timeout_ms: u64,
+    /// How long a body may take.
+    pub body_timeout_ms: u64,
+    /// How long a caller's connection may be silent between requests.
+    pub idle_timeout_ms: u64,
+    /// How long connecting to an endpoint may take.
+    pub connect_timeout_ms: u64,
+    /// How long running requests may take after a stop was asked for.
+    pub drain_timeout_ms: u64,
+    /// The most connections of callers.
+    pub max_connections: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: "entry-1".to_owned(),
+            zone: "zone-1".to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            operator_listen: SocketAddr::from(([127, 0, 0, 1], 8081)),
+            log: None,
+            peers: Vec::new(),
+            operators: Vec::new(),
+            log_timeout_ms: 2_000,
+            claim_interval_ms: 10,
+            key_max_age_ms: 600_000,
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout_ms: 10_000,
+            body_timeout_ms: 60_000,
+            idle_timeout_ms: 75_000,
+            connect_timeout_ms: 1_000,
+            drain_timeout_ms: 600_000,
+            max_connections: 20_000,
+        }
+    }
+}
+
+/// The longest time that a setting can be, in milliseconds: a day.
+const MAX_MS: u64 = 86_400_000;
+
+impl Settings {
+    /// Declares the flags, each with its environment variable and default.
+    pub fn args() -> Vec<Arg> {
+        let d = Self::default();
+        vec![
+            text("name", "NAME", "Name of the instance, unique in the fleet", &d.name),
+            text("zone", "ZONE", "Availability zone that the instance is in", &d.zone),
+            text("listen", "IP:PORT", "Where callers connect", &d.listen.to_string()),
+            text(
+                "operator-listen",
+                "IP:PORT",
+                "Where operators connect; also serves /metrics",
+                &d.operator_listen.to_string(),
+            ),
+            text(
+                "log",
+                "IP:PORT",
+                "Address of the platform's log; without it the log is in memory and is lost \
+                 with the process",
+                "",
+            ),
+            text("peers", "LIST", "Other instances as NAME=ZONE=IP:PORT, separated by commas", ""),
+            text(
+                "operator-tokens",
+                "LIST",
+                "Operators as NAME=TOKEN, separated by commas; best set by the environment",
+                "",
+            )
+            .hide_env_values(true),
+            number("log-timeout-ms", "How long the log may take to answer", d.log_timeout_ms),
+            number(
+                "claim-interval-ms",
+                "Least time between two appends of claims",
+                d.claim_interval_ms,
+            ),
+            number(
+                "key-max-age-ms",
+                "How long an idempotency key may be used; must be well under the log's retention",
+                d.key_max_age_ms,
+            ),
+            number("head-bytes", "Largest head of a request, in bytes", d.head_bytes as u64),
+            number("body-bytes", "Largest body of a request, in bytes", d.body_bytes as u64),
+            number("head-timeout-ms", "How long a head may take", d.head_timeout_ms),
+            number("body-timeout-ms", "How long a body may take", d.body_timeout_ms),
+            number(
+                "idle-timeout-ms",
+                "How long a caller's connection may be silent between requests",
+                d.idle_timeout_ms,
+            ),
+            number(
+                "connect-timeout-ms",
+                "How long connecting to an endpoint may take",
+                d.connect_timeout_ms,
+            ),
+            number(
+                "drain-timeout-ms",
+                "How long running requests may take after a stop was asked for",
+                d.drain_timeout_ms,
+            ),
+            number("max-connections", "Most connections of callers", d.max_connections as u64),
+        ]
+    }
+
+    /// Reads the settings from parsed flags, and checks them.
+    ///
+    /// # Errors
+    ///
+    /// Names the first flag that cannot be used, with its value and what is allowed.
+    pub fn from_args(args: &ArgMatches) -> Result<Self, SettingsError> {
+        let string = |flag: &str| args.get_one::<String>(flag).cloned().unwrap_or_default();
+        let number = |flag: &str| args.get_one::<u64>(flag).copied().unwrap_or_default();
+        let settings = Self {
+            name: string("name"),
+            zone: string("zone"),
+            listen: parse("--listen", &string("listen"), ADDRESS)?,
+            operator_listen: parse("--operator-listen", &string("operator-listen"), ADDRESS)?,
+            log: match string("log") {
+                log if log.is_empty() => None,
+                log => Some(parse("--log", &log, ADDRESS)?),
+            },
+            peers: list(&string("peers")).map(parse_peer).collect::<Result<_, _>>()?,
+            operators: list(&string("operator-tokens"))
+                .map(parse_operator)
+                .collect::<Result<_, _>>()?,
+            log_timeout_ms: number("log-timeout-ms"),
+            claim_interval_ms: number("claim-interval-ms"),
+            key_max_age_ms: number("key-max-age-ms"),
+            head_bytes: number("head-bytes") as usize,
+            body_bytes: number("body-bytes") as usize,
+            head_timeout_ms: number("head-timeout-ms"),
+            body_timeout_ms: number("body-timeout-ms"),
+            idle_timeout_ms: number("idle-timeout-ms"),
+            connect_timeout_ms: number("connect-timeout-ms"),
+            drain_timeout_ms: number("drain-timeout-ms"),
+            max_connections: number("max-connections") as usize,
+        };
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks each value against its range.
+    ///
+    /// # Errors
+    ///
+    /// Names the first flag whose value is out of range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        check_name("--name", &self.name)?;
+        check_name("--zone", &self.zone)?;
+        in_range("--log-timeout-ms", self.log_timeout_ms, 10, 60_000)?;
+        in_range("--claim-interval-ms", self.claim_interval_ms, 0, 1_000)?;
+        in_range("--key-max-age-ms", self.key_max_age_ms, 1_000, MAX_MS)?;
+        in_range("--head-bytes", self.head_bytes as u64, 1024, 1024 * 1024)?;
+        in_range("--body-bytes", self.body_bytes as u64, 1024, 256 * 1024 * 1024)?;
+        in_range("--head-timeout-ms", self.head_timeout_ms, 10, MAX_MS)?;
+        in_range("--body-timeout-ms", self.body_timeout_ms, 10, MAX_MS)?;
+        in_range("--idle-timeout-ms", self.idle_timeout_ms, 10, MAX_MS)?;
+        in_range("--connect-timeout-ms", self.connect_timeout_ms, 10, 60_000)?;
+        in_range("--drain-timeout-ms", self.drain_timeout_ms, 0, MAX_MS)?;
+        in_range("--max-connections", self.max_connections as u64, 1, 1_000_000)?;
+        match self.peers.iter().find(|p| p.name == self.name) {
+            Some(peer) => Err(SettingsError {
+                flag: "--peers",
+                value: peer.name.clone(),
+                allowed: "the names of other instances".to_owned(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    pub(crate) fn wire_limits(&self) -> Limits {
+        Limits {
+            head_bytes: self.head_bytes,
+            body_bytes: self.body_bytes,
+            idle: Duration::from_millis(self.idle_timeout_ms),
+            head: Duration::from_millis(self.head_timeout_ms),
+            body: Duration::from_millis(self.body_timeout_ms),
+            ..Limits::default()
+        }
+    }
+}
+
+const ADDRESS: &str = "an IP address and a port, such as 127.0.0.1:8080";
+
+fn text(name: &'static str, value: &'static str, help: &'static str, default: &str) -> Arg {
+    let arg = Arg::new(name).long(name).value_name(value).help(help).env(env_name(name));
+    if default.is_empty() { arg } else { arg.default_value(default.to_owned()) }
+}
+
+fn number(name: &'static str, help: &'static str, default: u64) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .help(help)
+        .env(env_name(name))
+        .value_parser(value_parser!(u64))
+        .default_value(default.to_string())
+}
+
+fn env_name(flag: &str) -> String {
+    format!("BAOBABVANE_{}", flag.replace('-', "_").to_uppercase())
+}
+
+fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',').map(str::trim).filter(|item| !item.is_empty())
+}
+
+fn parse<T: FromStr>(flag: &'static str, value: &str, allowed: &str) -> Result<T, SettingsError> {
+    value.parse().map_err(|_| SettingsError {
+        flag,
+        value: value.to_owned(),
+        allowed: allowed.to_owned(),
+    })
+}
+
+fn parse_peer(item: &str) -> Result<Peer, SettingsError> {
+    let wrong = || SettingsError {
+        flag: "--peers",
+        value: item.to_owned(),
+        allowed: "NAME=ZONE=IP:PORT".to_owned(),
+    };
+    let mut parts = item.splitn(3, '=');
+    let (Some(name), Some(zone), Some(address)) = (parts.next(), parts.next(), parts.next()) else {
+        return Err(wrong());
+    };
+    let address = address.parse().map_err(|_| wrong())?;
+    Ok(Peer { name: name.to_owned(), zone: zone.to_owned(), address })
+}
+
+/// The shortest token of an operator, in bytes.
+const MIN_TOKEN_BYTES: usize = 8;
+
+fn parse_operator(item: &str) -> Result<Operator, SettingsError> {
+    match item.split_once('=') {
+        Some((name, token)) if !name.is_empty() && token.len() >= MIN_TOKEN_BYTES => Ok(Operator {
+            name: name.to_owned(),
+            token_hash: baobabvane_domain::hash_api_key(token),
+        }),
+        // The value is a secret and stays out of the error.
+        _ => Err(SettingsError {
+            flag: "--operator-tokens",
+            value: "(hidden)".to_owned(),
+            allowed: format!("NAME=TOKEN with tokens of at least {MIN_TOKEN_BYTES} bytes"),
+        }),
+    }
+}
+
+fn check_name(flag: &'static str, value: &str) -> Result<(), SettingsError> {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    if !value.is_empty() && value.len() <= 64 && value.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(SettingsError {
+        flag,
+        value: value.to_owned(),
+        allowed: "1 to 64 letters, digits, '-', '_' or '.'".to_owned(),
+    })
+}
+
+fn in_range(flag: &'static str, value: u64, min: u64, max: u64) -> Result<(), SettingsError> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError { flag, value: value.to_string(), allowed: format!("{min} to {max}") })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_defaults_are_valid() {
+        Settings::default().check().unwrap();
+    }
+
+    #[test]
+    fn an_error_names_flag_value_and_range() {
+        let settings = Settings { head_bytes: 10, ..Settings::default() };
+        let err = settings.check().unwrap_err().to_string();
+        assert_eq!(err, "--head-bytes \"10\" is not valid, allowed: 1024 to 1048576");
+    }
+
+    #[test]
+    fn a_short_token_is_refused_without_showing_it() {
+        let err = parse_operator("ann=short").unwrap_err().to_string();
+        assert!(!err.contains("short"), "{err}");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/tasks.rs
@@ -0,0 +1,5 @@
+//! The tasks that own what the callers' connections share.
+
+pub(crate) mod claimant;
+pub(crate) mod configurator;
+pub(crate) mod scheduler;
--- /dev/null
+++ b/crates/entry/src/tasks/configurator.rs
@@ -0,0 +1,350 @@
+//! The task that follows the log's configuration stream and owns the replica.
+
+use std::{rc::Rc, time::Duration};
+
+use baobabvane_domain::{Change, ChangeError, Entry, InForce, Snapshot, Uuid};
+use baobabvane_platform::{AppendError, Batch, LogClient, Stream};
+use baobabvane_replica::{AuditEntry, Replica};
+use local_sync::{mpsc::unbounded, oneshot};
+use monoio::time::{Instant, sleep};
+
+use crate::{
+    clock::unix_ms,
+    message::Mailbox,
+    settings::Settings,
+    tasks::scheduler::ToScheduler,
+    view::{Published, View, ViewMaker},
+};
+
+/// How long one read of the log waits for news.
+const READ_WAIT: Duration = Duration::from_secs(5);
+/// Pause before the log is read again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How often those who wait are looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// A change that has not been read back after this time is unsettled.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// A change is answered as pending when a zone is missing after this time.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Records after which an instance appends the configuration again.
+const SNAPSHOT_EVERY: u64 = 10_000;
+
+/// What became of a proposed change.
+#[derive(Clone, Debug)]
+pub(crate) enum Proposed {
+    /// In the log and in force here; the zones that are missing.
+    Applied { version: u64, zones_missing: Vec<String> },
+    /// Refused, with the reason.
+    Refused(ChangeError),
+    /// The log did not take it.
+    NotAppended(String),
+    /// It may be in the log now or soon.
+    Unsettled(String),
+}
+
+/// What the configurator is told.
+pub(crate) enum ToConfigurator {
+    Propose(Change, oneshot::Sender<Proposed>),
+    Audit(oneshot::Sender<Vec<AuditEntry>>),
+    Status(oneshot::Sender<ConfigStatus>),
+    Read(Batch),
+    ReadFailed(String),
+    Appended(Uuid, Result<u64, AppendError>),
+}
+
+/// How far the configuration is, for the operators.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(crate) struct ConfigStatus {
+    pub(crate) has_state: bool,
+    pub(crate) version: u64,
+    pub(crate) next: u64,
+    pub(crate) log_reachable: bool,
+    pub(crate) instances: Vec<InstanceStatus>,
+}
+
+/// An instance as the log shows it.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(crate) struct InstanceStatus {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) in_force: Option<u64>,
+}
+
+/// Somebody who waits for a change.
+struct Waiter {
+    id: Uuid,
+    version: Option<u64>,
+    deadline: Instant,
+    reply: Option<oneshot::Sender<Proposed>>,
+}
+
+struct Configurator {
+    log: LogClient,
+    settings: Rc<Settings>,
+    replica: Replica,
+    maker: ViewMaker,
+    published: Published,
+    scheduler: Mailbox<ToScheduler>,
+    mailbox: Mailbox<ToConfigurator>,
+    waiters: Vec<Waiter>,
+    reported: u64,
+    log_reachable: bool,
+    ready: Rc<std::cell::Cell<bool>>,
+}
+
+/// Starts the task; `ready` is set once the configuration is known.
+pub(crate) fn spawn(
+    log: LogClient,
+    settings: Rc<Settings>,
+    published: Published,
+    scheduler: Mailbox<ToScheduler>,
+    ready: Rc<std::cell::Cell<bool>>,
+) -> Mailbox<ToConfigurator> {
+    let (mailbox, rx) = Mailbox::new();
+    let configurator = Configurator {
+        log: log.clone(),
+        settings,
+        replica: Replica::new(),
+        maker: ViewMaker::default(),
+        published,
+        scheduler,
+        mailbox: mailbox.clone(),
+        waiters: Vec::new(),
+        reported: 0,
+        log_reachable: false,
+        ready,
+    };
+    monoio::spawn(follow(log, mailbox.clone()));
+    monoio::spawn(configurator.run(rx));
+    mailbox
+}
+
+/// Reads the stream from its start on and hands on what comes.
+async fn follow(log: LogClient, to: Mailbox<ToConfigurator>) {
+    let mut next = 1;
+    let mut wait = Duration::ZERO;
+    loop {
+        match log.read(Stream::Config, next, wait).await {
+            Ok(batch) => {
+                next = batch.next.max(batch.oldest);
+                wait = if next < batch.end { Duration::ZERO } else { READ_WAIT };
+                to.send(ToConfigurator::Read(batch));
+            }
+            Err(e) => {
+                to.send(ToConfigurator::ReadFailed(e.to_string()));
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Configurator {
+    async fn run(mut self, mut rx: unbounded::Rx<ToConfigurator>) {
+        loop {
+            match monoio::time::timeout(TICK, rx.recv()).await {
+                Ok(Some(message)) => self.take(message),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+            self.answer_waiters();
+        }
+    }
+
+    fn take(&mut self, message: ToConfigurator) {
+        match message {
+            ToConfigurator::Propose(change, reply) => self.propose(change, reply),
+            ToConfigurator::Audit(reply) => {
+                let _ = reply.send(self.replica.audit().iter().cloned().collect());
+            }
+            ToConfigurator::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            ToConfigurator::Read(batch) => self.read(&batch),
+            ToConfigurator::ReadFailed(error) => {
+                if self.log_reachable {
+                    log::warn!("event=log_unreachable error={error:?}");
+                }
+                self.log_reachable = false;
+            }
+            ToConfigurator::Appended(id, result) => self.appended(id, result),
+        }
+    }
+
+    fn propose(&mut self, change: Change, reply: oneshot::Sender<Proposed>) {
+        // What is refused now would be refused in the log, too.
+        if let Err(e) = self.replica.catalog().check(&change) {
+            let _ = reply.send(Proposed::Refused(e));
+            return;
+        }
+        let id = change.id;
+        let deadline = Instant::now() + SETTLE_TIMEOUT;
+        self.waiters.push(Waiter { id, version: None, deadline, reply: Some(reply) });
+        let (log, mailbox) = (self.log.clone(), self.mailbox.clone());
+        let data = encode(&[Entry::Change(change)]);
+        monoio::spawn(async move {
+            let result = log.append(Stream::Config, data).await;
+            mailbox.send(ToConfigurator::Appended(id, result));
+        });
+    }
+
+    fn appended(&mut self, id: Uuid, result: Result<u64, AppendError>) {
+        // An unsettled append is settled by reading the log, or by the waiter's deadline.
+        let Err(AppendError::NotAppended(error)) = result else { return };
+        for waiter in self.waiters.iter_mut().filter(|w| w.id == id) {
+            if let Some(reply) = waiter.reply.take() {
+                let _ = reply.send(Proposed::NotAppended(error.clone()));
+            }
+        }
+    }
+
+    fn read(&mut self, batch: &Batch) {
+        self.log_reachable = true;
+        self.replica.note_gap(batch.oldest);
+        let mut changed = false;
+        for record in &batch.records {
+            changed |= self.replica.apply(record.offset, &decode(&record.data)).changed;
+        }
+        let caught_up = self.replica.next() >= batch.end;
+        if changed || (caught_up && !self.ready.get()) {
+            self.publish();
+        }
+        if caught_up && self.replica.has_state() {
+            self.ready.set(true);
+            self.report();
+            self.append_snapshot();
+        }
+    }
+
+    fn publish(&mut self) {
+        let view: View = self.maker.make(self.replica.catalog(), self.replica.changed_at());
+        let view = Rc::new(view);
+        log::info!("event=configuration_in_force version={}", view.version);
+        metrics::gauge!("baobabvane_configuration_version").set(view.version as f64);
+        self.published.set(Rc::clone(&view));
+        self.scheduler.send(ToScheduler::Configure(view));
+    }
+
+    /// Tells the fleet that the configuration is in force here.
+    fn report(&mut self) {
+        let offset = self.replica.changed_at();
+        if offset <= self.reported {
+            return;
+        }
+        self.reported = offset;
+        let entry = Entry::InForce(InForce {
+            instance: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            offset,
+        });
+        self.append_until_taken(encode(&[entry]));
+    }
+
+    /// Appends the configuration again before the log drops its records.
+    fn append_snapshot(&mut self) {
+        let next = self.replica.next();
+        if next < self.replica.snapshot_at() + SNAPSHOT_EVERY {
+            return;
+        }
+        let catalog = self.replica.catalog().clone();
+        let entry = Entry::Snapshot(Snapshot { as_of: next - 1, catalog });
+        self.append_until_taken(encode(&[entry]));
+    }
+
+    /// Appends a record that may stand twice in the log without harm.
+    fn append_until_taken(&self, data: String) {
+        let log = self.log.clone();
+        monoio::spawn(async move {
+            while let Err(AppendError::NotAppended(_)) =
+                log.append(Stream::Config, data.clone()).await
+            {
+                sleep(RETRY_PAUSE).await;
+            }
+        });
+    }
+
+    fn answer_waiters(&mut self) {
+        let now = Instant::now();
+        let mut waiters = std::mem::take(&mut self.waiters);
+        waiters.retain_mut(|waiter| {
+            if let Some(answer) = self.answer_for(waiter, now) {
+                if let Some(reply) = waiter.reply.take() {
+                    let _ = reply.send(answer);
+                }
+            }
+            waiter.reply.is_some()
+        });
+        self.waiters = waiters;
+    }
+
+    fn answer_for(&self, waiter: &mut Waiter, now: Instant) -> Option<Proposed> {
+        if waiter.version.is_none() {
+            match self.replica.result(waiter.id) {
+                Some(Err(e)) => return Some(Proposed::Refused(e.clone())),
+                Some(Ok(version)) => {
+                    waiter.version = Some(*version);
+                    waiter.deadline = now + IN_FORCE_TIMEOUT;
+                }
+                None if now >= waiter.deadline => {
+                    let error = "the change was not read back from the log".to_owned();
+                    return Some(Proposed::Unsettled(error));
+                }
+                None => {}
+            }
+        }
+        let version = waiter.version?;
+        let zones_missing: Vec<String> =
+            self.replica.zones_missing(version, self.instances()).into_iter().collect();
+        let done = zones_missing.is_empty() || now >= waiter.deadline;
+        done.then_some(Proposed::Applied { version, zones_missing })
+    }
+
+    fn instances(&self) -> impl Iterator<Item = (&str, &str)> {
+        let own = (self.settings.name.as_str(), self.settings.zone.as_str());
+        let peers = self.settings.peers.iter().map(|p| (p.name.as_str(), p.zone.as_str()));
+        std::iter::once(own).chain(peers)
+    }
+
+    fn status(&self) -> ConfigStatus {
+        let instance = |(name, zone): (&str, &str)| InstanceStatus {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            in_force: self.replica.progress(name),
+        };
+        ConfigStatus {
+            has_state: self.replica.has_state(),
+            version: self.replica.changed_at(),
+            next: self.replica.next(),
+            log_reachable: self.log_reachable,
+            instances: self.instances().map(instance).collect(),
+        }
+    }
+}
+
+/// Writes entries as one record of the log.
+pub(crate) fn encode(entries: &[Entry]) -> String {
+    serde_json::to_string(entries).expect("entries have string keys only")
+}
+
+/// Reads a record; entries that cannot be read are skipped, as a newer release
+/// may have written them.
+pub(crate) fn decode(data: &str) -> Vec<Entry> {
+    if let Ok(entries) = serde_json::from_str(data) {
+        return entries;
+    }
+    let values: Vec<serde_json::Value> = serde_json::from_str(data).unwrap_or_default();
+    let entries: Vec<Entry> =
+        values.iter().filter_map(|v| serde_json::from_value(v.clone()).ok()).collect();
+    let skipped = values.len() - entries.len();
+    log::error!("event=entries_unreadable skipped={skipped} read={}", entries.len());
+    entries
+}
+
+/// Makes a change that an operator proposes now.
+pub(crate) fn new_change(
+    who: String,
+    name: baobabvane_domain::ResourceName,
+    expected_version: Option<u64>,
+    operation: baobabvane_domain::Operation,
+) -> Change {
+    Change { id: Uuid::new_v4(), who, at_ms: unix_ms(), name, expected_version, operation }
+}
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -188,10 +188,10 @@
     }
 
     fn remember(&mut self, id: Uuid, result: Result<u64, ChangeError>) {
-        if self.result_order.len() == MAX_RESULTS {
-            if let Some(oldest) = self.result_order.pop_front() {
-                self.results.remove(&oldest);
-            }
+        if self.result_order.len() == MAX_RESULTS
+            && let Some(oldest) = self.result_order.pop_front()
+        {
+            self.results.remove(&oldest);
         }
         self.result_order.push_back(id);
         self.results.insert(id, result);
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,231 @@
+//! A model engine that writes a made-up answer at a set speed.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use baobabvane_wire::{Request, ServerConn};
+use http::{HeaderValue, header};
+use monoio::time::{Instant, sleep, sleep_until};
+use serde_json::{Value, json};
+
+use crate::server::{Handler, Running, json as json_response, spawn};
+
+/// How fast an engine is.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpeed {
+    /// Microseconds to read a token of the prompt.
+    pub prefill_us: u64,
+    /// Microseconds between two tokens of an answer; 0 writes as fast as it can.
+    pub decode_us: u64,
+}
+
+/// What an engine does wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineFaults {
+    /// Answers 503 to everything.
+    pub refuse: bool,
+    /// Breaks the connection after this many tokens.
+    pub cut_after: Option<u32>,
+    /// Ends the stream properly but without its last event after this many tokens.
+    pub end_after: Option<u32>,
+    /// Accepts requests and never answers.
+    pub hang: bool,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    running: Running,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    faults: EngineFaults,
+    started: HashMap<String, u32>,
+    finished: u32,
+    cancelled: u32,
+}
+
+impl Engine {
+    /// Starts an engine.
+    pub fn spawn(speed: EngineSpeed) -> Self {
+        Self::spawn_at(SocketAddr::from(([127, 0, 0, 1], 0)), speed)
+    }
+
+    /// Starts an engine at an address.
+    pub fn spawn_at(address: SocketAddr, speed: EngineSpeed) -> Self {
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let handler = Arc::clone(&shared);
+        let running = spawn(address, move || EngineHandler {
+            speed,
+            shared: handler,
+            prefill_free_at: Cell::new(Instant::now()),
+            chunks: RefCell::new(Vec::new()),
+        });
+        Self { running, shared }
+    }
+
+    /// Returns where the engine listens.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Sets what the engine does wrong from now on.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.shared.lock().expect("no holder panics").faults = faults;
+    }
+
+    /// Returns how many requests were begun.
+    pub fn started(&self) -> u32 {
+        self.shared.lock().expect("no holder panics").started.values().sum()
+    }
+
+    /// Returns how many answers were written to their end.
+    pub fn finished(&self) -> u32 {
+        self.shared.lock().expect("no holder panics").finished
+    }
+
+    /// Returns how many answers were cut off because the connection was closed.
+    pub fn cancelled(&self) -> u32 {
+        self.shared.lock().expect("no holder panics").cancelled
+    }
+}
+
+struct EngineHandler {
+    speed: EngineSpeed,
+    shared: Arc<Mutex<Shared>>,
+    prefill_free_at: Cell<Instant>,
+    chunks: RefCell<Vec<u8>>,
+}
+
+impl Handler for EngineHandler {
+    async fn handle(&self, conn: &mut ServerConn, req: Request) -> bool {
+        let faults = self.shared.lock().expect("no holder panics").faults;
+        if faults.refuse {
+            let refusal = json_response(503, "{\"error\":\"overloaded\"}".to_owned());
+            return conn.write_response(refusal).await.is_ok();
+        }
+        let body: Value = serde_json::from_slice(req.body()).unwrap_or_default();
+        let text = body["messages"]
+            .as_array()
+            .and_then(|m| m.last())
+            .and_then(|m| m["content"].as_str())
+            .unwrap_or_default();
+        let subject: String = text.chars().take(32).collect();
+        *self
+            .shared
+            .lock()
+            .expect("no holder panics")
+            .started
+            .entry(subject.clone())
+            .or_default() += 1;
+        if faults.hang {
+            conn.closed().await;
+            return false;
+        }
+        let tokens = body["max_tokens"].as_u64().unwrap_or(16) as u32;
+        self.read_prompt(text.len() as u64 / 4).await;
+        let stream = body["stream"].as_bool().unwrap_or(false);
+        let done = if stream {
+            self.stream(conn, &subject, tokens, faults).await
+        } else {
+            self.whole(conn, &subject, tokens).await
+        };
+        let mut shared = self.shared.lock().expect("no holder panics");
+        match done {
+            true => shared.finished += 1,
+            false => shared.cancelled += 1,
+        }
+        done
+    }
+}
+
+impl EngineHandler {
+    /// Reads prompts one after the other, as engines do.
+    async fn read_prompt(&self, tokens: u64) {
+        let start = self.prefill_free_at.get().max(Instant::now());
+        let end = start + Duration::from_micros(tokens * self.speed.prefill_us);
+        self.prefill_free_at.set(end);
+        if end > Instant::now() {
+            sleep_until(end).await;
+        }
+    }
+
+    async fn pause(&self) {
+        if self.speed.decode_us > 0 {
+            sleep(Duration::from_micros(self.speed.decode_us)).await;
+        }
+    }
+
+    async fn whole(&self, conn: &mut ServerConn, subject: &str, tokens: u32) -> bool {
+        let write = async {
+            for _ in 0..tokens {
+                self.pause().await;
+            }
+        };
+        let went_away = monoio::select! {
+            () = write => false,
+            () = conn.closed() => true,
+        };
+        if went_away {
+            return false;
+        }
+        let answer = json!({
+            "object": "chat.completion",
+            "choices": [{"index": 0, "finish_reason": "stop",
+                "message": {"role": "assistant", "content": format!("about {subject}")}}],
+            "usage": {"completion_tokens": tokens},
+        });
+        conn.write_response(json_response(200, answer.to_string())).await.is_ok()
+    }
+
+    async fn stream(
+        &self,
+        conn: &mut ServerConn,
+        subject: &str,
+        tokens: u32,
+        faults: EngineFaults,
+    ) -> bool {
+        let mut head = http::Response::new(());
+        let sse = HeaderValue::from_static("text/event-stream");
+        head.headers_mut().insert(header::CONTENT_TYPE, sse);
+        if conn.start_stream(head).await.is_err() {
+            return false;
+        }
+        for n in 0..tokens {
+            if faults.cut_after == Some(n) {
+                return false;
+            }
+            if faults.end_after == Some(n) {
+                return conn.end_stream().await.is_ok();
+            }
+            self.pause().await;
+            let word = if n == 0 { format!("about {subject}") } else { format!(" word{n}") };
+            if self.write_event(conn, &word).await.is_err() {
+                return false;
+            }
+        }
+        let last = conn.write_chunk(b"data: [DONE]\n\n").await;
+        last.is_ok() && conn.end_stream().await.is_ok()
+    }
+
+    async fn write_event(
+        &self,
+        conn: &mut ServerConn,
+        word: &str,
+    ) -> Result<(), baobabvane_wire::WireError> {
+        let event = json!({"choices": [{"index": 0, "delta": {"content": word}}]});
+        let mut chunk = std::mem::take(&mut *self.chunks.borrow_mut());
+        chunk.clear();
+        chunk.extend_from_slice(format!("data: {event}\n\n").as_bytes());
+        let written = conn.write_chunk(&chunk).await;
+        *self.chunks.borrow_mut() = chunk;
+        written
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,16 @@
+//! Stand-ins for what surrounds the product: model engines, plain services and
+//! the platform's log. They are for tests, examples and benches only.
+//!
+//! Each runs on a thread of its own and listens on a free port of the loopback
+//! address; dropping its handle ends it. Faults are set from any thread.
 
+mod client;
+mod engine;
+mod log;
+mod server;
+mod service;
+
+pub use client::{Caller, Received};
+pub use engine::{Engine, EngineFaults, EngineSpeed};
+pub use log::{LogFaults, LogService};
+pub use service::{Service, ServiceFaults};
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,203 @@
+//! The platform's log service, with its limits and outages.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use baobabvane_platform::{Appended, Batch, LogRecord};
+use baobabvane_wire::{Request, ServerConn};
+use http::Method;
+use monoio::time::{Instant, sleep};
+
+use crate::server::{Handler, Running, json as json_response, spawn};
+
+/// The most records that one read returns.
+const MAX_BATCH: usize = 1024;
+const POLL: Duration = Duration::from_millis(2);
+
+/// What the log does wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LogFaults {
+    /// Closes every connection without an answer.
+    pub down: bool,
+    /// Takes appends, then closes the connection in place of an answer.
+    pub lose_answers: bool,
+    /// Answers appends with 503 and does not take them.
+    pub refuse: bool,
+    /// Time that each append takes.
+    pub delay: Duration,
+    /// Records that each stream keeps; 0 keeps all.
+    pub retention: usize,
+}
+
+/// A running log service.
+#[derive(Debug)]
+pub struct LogService {
+    running: Running,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    faults: LogFaults,
+    streams: HashMap<String, Vec<LogRecord>>,
+    dropped: HashMap<String, u64>,
+    appends: u64,
+}
+
+impl LogService {
+    /// Starts an empty log.
+    pub fn spawn() -> Self {
+        Self::spawn_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts an empty log at an address.
+    pub fn spawn_at(address: SocketAddr) -> Self {
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let handler = Arc::clone(&shared);
+        let running = spawn(address, move || LogHandler { shared: handler });
+        Self { running, shared }
+    }
+
+    /// Returns where the log listens.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Sets what the log does wrong from now on.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.shared.lock().expect("no holder panics").faults = faults;
+    }
+
+    /// Returns how many records were appended to all streams.
+    pub fn appends(&self) -> u64 {
+        self.shared.lock().expect("no holder panics").appends
+    }
+
+    /// Returns the records of a stream that are kept.
+    pub fn records(&self, stream: &str) -> Vec<LogRecord> {
+        let shared = self.shared.lock().expect("no holder panics");
+        shared.streams.get(stream).cloned().unwrap_or_default()
+    }
+}
+
+impl Shared {
+    fn append(&mut self, stream: &str, data: String) -> u64 {
+        self.appends += 1;
+        let records = self.streams.entry(stream.to_owned()).or_default();
+        let dropped = self.dropped.entry(stream.to_owned()).or_default();
+        let offset = *dropped + records.len() as u64 + 1;
+        records.push(LogRecord { offset, at_ms: unix_ms(), data });
+        let over = records.len().saturating_sub(self.faults.retention);
+        if self.faults.retention > 0 && over > 0 {
+            records.drain(..over);
+            *dropped += over as u64;
+        }
+        offset
+    }
+
+    fn end(&self, stream: &str) -> u64 {
+        let kept = self.streams.get(stream).map_or(0, Vec::len) as u64;
+        self.oldest(stream) + kept
+    }
+
+    fn oldest(&self, stream: &str) -> u64 {
+        self.dropped.get(stream).copied().unwrap_or(0) + 1
+    }
+
+    fn batch(&self, stream: &str, from: u64) -> Batch {
+        let oldest = self.oldest(stream);
+        let start = from.max(oldest);
+        let records: Vec<LogRecord> = self
+            .streams
+            .get(stream)
+            .into_iter()
+            .flatten()
+            .skip((start - oldest) as usize)
+            .take(MAX_BATCH)
+            .cloned()
+            .collect();
+        let next = start + records.len() as u64;
+        Batch { records, next, oldest, end: self.end(stream) }
+    }
+}
+
+struct LogHandler {
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Handler for LogHandler {
+    async fn handle(&self, conn: &mut ServerConn, req: Request) -> bool {
+        let faults = self.faults();
+        if faults.down {
+            return false;
+        }
+        let path = req.uri().path().to_owned();
+        let Some(stream) =
+            path.strip_prefix("/v1/streams/").and_then(|p| p.strip_suffix("/records"))
+        else {
+            return conn.write_response(json_response(404, "{}".to_owned())).await.is_ok();
+        };
+        match *req.method() {
+            Method::POST => self.append(conn, stream, &req, faults).await,
+            _ => self.read(conn, stream, &req).await,
+        }
+    }
+}
+
+impl LogHandler {
+    fn faults(&self) -> LogFaults {
+        self.shared.lock().expect("no holder panics").faults
+    }
+
+    async fn append(
+        &self,
+        conn: &mut ServerConn,
+        stream: &str,
+        req: &Request,
+        faults: LogFaults,
+    ) -> bool {
+        if faults.refuse {
+            return conn.write_response(json_response(503, "{}".to_owned())).await.is_ok();
+        }
+        if !faults.delay.is_zero() {
+            sleep(faults.delay).await;
+        }
+        let data = String::from_utf8_lossy(req.body()).into_owned();
+        let offset = self.shared.lock().expect("no holder panics").append(stream, data);
+        if faults.lose_answers {
+            return false;
+        }
+        let answer = serde_json::to_string(&Appended { offset }).unwrap_or_default();
+        conn.write_response(json_response(200, answer)).await.is_ok()
+    }
+
+    async fn read(&self, conn: &mut ServerConn, stream: &str, req: &Request) -> bool {
+        let number = |name: &str| {
+            let query = req.uri().query().unwrap_or_default();
+            let value = query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+            value.and_then(|v| v.parse::<u64>().ok())
+        };
+        let from = number("from").unwrap_or(1);
+        let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        while self.shared.lock().expect("no holder panics").end(stream) <= from
+            && Instant::now() < until
+            && !self.faults().down
+        {
+            sleep(POLL).await;
+        }
+        if self.faults().down {
+            return false;
+        }
+        let batch = self.shared.lock().expect("no holder panics").batch(stream, from);
+        let answer = serde_json::to_string(&batch).unwrap_or_default();
+        conn.write_response(json_response(200, answer)).await.is_ok()
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,92 @@
+//! Runs a handler for each request on a thread of its own.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use baobabvane_wire::{Limits, Request, ServerConn};
+use monoio::{net::TcpListener, time::sleep};
+
+/// Answers one request; false closes the connection.
+pub(crate) trait Handler {
+    async fn handle(&self, conn: &mut ServerConn, req: Request) -> bool;
+}
+
+/// A running stand-in; dropping it ends its thread and closes its connections.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+const POLL: Duration = Duration::from_millis(5);
+
+/// Starts a stand-in; `make` runs on its thread, as handlers need not be `Send`.
+pub(crate) fn spawn<H: Handler + 'static>(
+    address: SocketAddr,
+    make: impl FnOnce() -> H + Send + 'static,
+) -> Running {
+    let stop = Arc::new(AtomicBool::new(false));
+    let (tx, rx) = mpsc::channel();
+    let stopped = Arc::clone(&stop);
+    let thread = std::thread::spawn(move || {
+        let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+            .enable_timer()
+            .build()
+            .expect("a runtime needs only a descriptor");
+        runtime.block_on(async move {
+            let opts = monoio::net::ListenerOpts::new().backlog(4096).reuse_port(false);
+            let listener = TcpListener::bind_with_config(address, &opts)
+                .expect("the stand-in's address is free");
+            let _ = tx.send(listener.local_addr().expect("a bound socket has an address"));
+            monoio::spawn(accept(listener, Rc::new(make())));
+            while !stopped.load(Ordering::Relaxed) {
+                sleep(POLL).await;
+            }
+        });
+    });
+    let address = rx.recv().expect("the stand-in binds its address");
+    Running { address, stop, thread: Some(thread) }
+}
+
+async fn accept<H: Handler + 'static>(listener: TcpListener, handler: Rc<H>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let handler = Rc::clone(&handler);
+        monoio::spawn(async move {
+            let limits = Limits { body_bytes: 64 * 1024 * 1024, ..Limits::default() };
+            let mut conn = ServerConn::new(stream, limits);
+            while let Ok(Some(req)) = conn.read_request().await {
+                if !handler.handle(&mut conn, req).await {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Makes a JSON response.
+pub(crate) fn json(status: u16, body: String) -> baobabvane_wire::Response {
+    let mut res = baobabvane_wire::Response::new(body.into());
+    *res.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    let value = http::HeaderValue::from_static("application/json");
+    res.headers_mut().insert(http::header::CONTENT_TYPE, value);
+    res
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,12 +1,18 @@
 //! The client's side of a connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    os::fd::{AsRawFd, BorrowedFd},
+    time::Duration,
+};
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{HeaderMap, HeaderValue, Method, Response, Version, header};
 use monoio::{io::AsyncWriteRentExt, net::TcpStream, time::timeout};
 use monoio_codec::FramedRead;
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
+use socket2::{SockRef, TcpKeepalive};
 
 use crate::{
     Request, WireError,
@@ -22,6 +28,12 @@
 const MAX_CHUNK_BYTES: usize = 16 * 1024 * 1024;
 /// Bodies up to this size are sent together with the head.
 const JOINED_BODY_BYTES: usize = 16 * 1024;
+/// Sent bytes that stay unacknowledged for this long end the connection.
+const MAX_UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+/// A connection on which nothing moves is probed after this time.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
 
 /// Opens connections to one address.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +70,7 @@
 impl ClientConn {
     fn new(stream: TcpStream, address: SocketAddr) -> Self {
         let _ = stream.set_nodelay(true);
+        end_when_silent(&stream);
         let decoder = StrictHead::new(MAX_HEAD_BYTES);
         let host =
             HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
@@ -129,13 +142,33 @@
         self.reusable && self.body.is_done() && self.framed.read_buffer().is_empty()
     }
 
-    /// Resolves when the peer closes or sends something unasked on an idle connection.
-    pub async fn disturbed(&mut self) {
-        let _ = self.framed.peek_data().await;
-        self.reusable = false;
+    /// Says whether an idle connection is still open with nothing unasked on it.
+    pub fn is_quiet(&mut self) -> bool {
+        if !self.is_reusable() {
+            return false;
+        }
+        // The peek is dropped unfinished when nothing has arrived.
+        self.framed.peek_data().now_or_never().is_none()
     }
 }
 
+/// Makes the kernel end the connection when the other side acknowledges nothing.
+///
+/// A link that has lost track of the connection is told from an endpoint that
+/// is slow by this: what a slow endpoint was sent is acknowledged all the same.
+fn end_when_silent(stream: &TcpStream) {
+    // SAFETY: the descriptor is open for as long as `stream` is borrowed.
+    #[expect(unsafe_code)]
+    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let socket = SockRef::from(&fd);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED));
+}
+
 fn may_reuse(version: Version, headers: &HeaderMap) -> bool {
     let closes = headers
         .get(header::CONNECTION)
