--- a/crates/entry/src/caller/keyed.rs
+++ b/crates/entry/src/caller/keyed.rs
@@ -200,7 +200,7 @@
     async fn detached(self) -> Result<Response, Problem> {
         let (tx, rx) = oneshot::channel();
         monoio::spawn(async move {
-            let _ = tx.send(self.to_end().await);
+            let _ = tx.send(self.finish().await);
         });
         rx.await.unwrap_or_else(|_| {
             let detail = "the instance is stopping";
@@ -208,7 +208,7 @@
         })
     }
 
-    async fn to_end(mut self) -> Result<Response, Problem> {
+    async fn finish(mut self) -> Result<Response, Problem> {
         let _active = Counted::new(&self.cx.active);
         let headers = &mut self.job.outgoing.headers;
         let key = self.key.key.to_string();
--- a/crates/entry/src/tasks/configurator.rs
+++ b/crates/entry/src/tasks/configurator.rs
@@ -266,10 +266,10 @@
         let now = Instant::now();
         let mut waiters = std::mem::take(&mut self.waiters);
         waiters.retain_mut(|waiter| {
-            if let Some(answer) = self.answer_for(waiter, now) {
-                if let Some(reply) = waiter.reply.take() {
-                    let _ = reply.send(answer);
-                }
+            if let Some(answer) = self.answer_for(waiter, now)
+                && let Some(reply) = waiter.reply.take()
+            {
+                let _ = reply.send(answer);
             }
             waiter.reply.is_some()
         });
