--- /dev/null
+++ b/crates/decide/examples/decisions/main.rs
@@ -0,0 +1,131 @@
+//! The decision bench: the core against fake engines, in virtual time.
+//!
+//! `cargo run --release --example decisions -- --help`
+
+mod engine;
+mod report;
+mod scenario;
+mod sim;
+
+use baobabvane_decide::{Placement, Policy};
+use clap::{Arg, ArgAction, Command, value_parser};
+
+use crate::{
+    report::{Figures, figures},
+    scenario::{NAMES, Plan},
+};
+
+/// The policies: the default, the baselines, and the default without one mechanism.
+fn policies() -> Vec<(&'static str, Policy)> {
+    let d = Policy::default;
+    vec![
+        ("default", d()),
+        ("two-choices", Policy::baseline(Placement::TwoChoices)),
+        ("least-outstanding", Policy::baseline(Placement::LeastOutstanding)),
+        ("round-robin", Policy::baseline(Placement::RoundRobin)),
+        ("owner", Policy::baseline(Placement::Owner)),
+        ("no-fair-share", Policy { fair_share: false, ..d() }),
+        ("no-floors", Policy { floors: false, ..d() }),
+        ("no-headroom", Policy { headroom: false, ..d() }),
+        ("no-room-for-short", Policy { room_for_short: false, ..d() }),
+        ("no-adaptive-limit", Policy { adaptive_limit: false, ..d() }),
+        ("no-breaker", Policy { breaker: false, ..d() }),
+        ("no-prefix", Policy { prefix_aware: false, ..d() }),
+        ("no-drop-late", Policy { drop_late: false, ..d() }),
+        ("no-shedding", Policy { shedding: false, ..d() }),
+    ]
+}
+
+fn create_command() -> Command {
+    let many = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("NAME").action(ArgAction::Append).help(help)
+    };
+    Command::new("decisions")
+        .about("Measures the decision core against fake engines in virtual time")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("1")
+                .help("First seed"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("1")
+                .help("How many seeds, one after the other"),
+        )
+        .arg(many("scenario", "Only this scenario; may be given again"))
+        .arg(many("policy", "Only this policy; may be given again; \"all\" takes every one"))
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("One object a line"))
+        .arg(Arg::new("list").long("list").action(ArgAction::SetTrue).help("Lists the names"))
+}
+
+fn main() {
+    let args = create_command().get_matches();
+    let policies = policies();
+    if args.get_flag("list") {
+        println!("scenarios: {}", NAMES.join(" "));
+        println!("policies: {}", policies.iter().map(|p| p.0).collect::<Vec<_>>().join(" "));
+        return;
+    }
+    let given = |name: &str| -> Vec<&String> {
+        args.get_many::<String>(name).into_iter().flatten().collect()
+    };
+    let (scenarios, wanted) = (given("scenario"), given("policy"));
+    let baselines = ["default", "two-choices", "least-outstanding", "round-robin", "owner"];
+    let is_wanted = |name: &str| match wanted.as_slice() {
+        [] => baselines.contains(&name),
+        wanted => wanted.iter().any(|w| *w == name || *w == "all"),
+    };
+    let first = args.get_one::<u64>("seed").copied().unwrap_or(1);
+    let seeds = args.get_one::<u64>("seeds").copied().unwrap_or(1);
+    for name in NAMES.iter().filter(|n| scenarios.is_empty() || scenarios.iter().any(|s| s == *n)) {
+        for (policy_name, policy) in policies.iter().filter(|(name, _)| is_wanted(name)) {
+            for seed in first..first + seeds {
+                let figures = measure(name, policy_name, policy, seed);
+                if args.get_flag("json") {
+                    println!("{}", serde_json::to_string(&figures).expect("keys are strings"));
+                } else {
+                    print_figures(&figures);
+                }
+            }
+        }
+    }
+}
+
+fn measure(scenario: &str, policy_name: &str, policy: &Policy, seed: u64) -> Figures {
+    let plan = Plan::make(scenario, seed).expect("the name is from the list");
+    let outcome = sim::run(&plan, policy, seed);
+    if !plan.has_flood() {
+        return figures(&plan, policy_name, seed, &outcome, None);
+    }
+    let calm_plan = plan.without_flood();
+    let calm = sim::run(&calm_plan, policy, seed);
+    figures(&plan, policy_name, seed, &outcome, Some((&calm_plan, &calm)))
+}
+
+fn print_figures(f: &Figures) {
+    println!("{} policy={} seed={}", f.scenario, f.policy, f.seed);
+    println!(
+        "  goodput by tier {:?}, small organisations {}, large {}",
+        f.tier_goodput, f.small_org_goodput, f.large_org_goodput
+    );
+    println!(
+        "  kept by others {} {:?}, flood's goodput {}, spilled {}",
+        f.kept_by_others, f.kept_by_tier, f.flood_goodput, f.spilled
+    );
+    println!(
+        "  wasted prefill {}, inversions {}, late above waiting {}",
+        f.wasted_prefill, f.tier_inversions, f.late_above_waiting
+    );
+    for (kind, p95) in &f.ttft_p95_ms {
+        println!(
+            "  first token {kind}: p50 {} ms, p95 {p95} ms, p99 {} ms",
+            f.ttft_p50_ms[kind], f.ttft_p99_ms[kind]
+        );
+    }
+}
