decide: deadline-aware choice, room for short work, waiting for a shared prefix

Change: endpoints that would answer too late are passed over; long work is packed on a part of the endpoints that shrinks when short answers get tight; a request waits while its prefix is being read; hot cache blocks are spared; only the least urgent waiting tier ever yields.

--- a/crates/decide/examples/decisions/main.rs
+++ b/crates/decide/examples/decisions/main.rs
@@ -30,6 +30,8 @@
         ("no-room-for-short", Policy { room_for_short: false, ..d() }),
         ("no-adaptive-limit", Policy { adaptive_limit: false, ..d() }),
         ("no-breaker", Policy { breaker: false, ..d() }),
+        ("no-deadline-aware", Policy { deadline_aware: false, ..d() }),
+        ("no-spare-hot", Policy { spare_hot_blocks: false, ..d() }),
         ("no-prefix", Policy { prefix_aware: false, ..d() }),
         ("no-drop-late", Policy { drop_late: false, ..d() }),
         ("no-shedding", Policy { shedding: false, ..d() }),
--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -2,8 +2,8 @@
 
 /// Repeats allowed for each first dispatch.
 const RETRIES_PER_REQUEST: f64 = 0.1;
-/// Repeats that may come at once.
-const MAX_SAVED_RETRIES: f64 = 10.0;
+/// Repeats that may come at once, as when an endpoint dies with all its requests.
+const MAX_SAVED_RETRIES: f64 = 64.0;
 
 /// A bucket that first dispatches fill and repeats empty.
 #[derive(Clone, Copy, Debug)]
--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -9,17 +9,21 @@
     endpoint::Endpoint,
     event::{Choice, Descriptor, EndpointKey, Millis},
     policy::{Placement, Policy},
-    prefix::PrefixIndex,
+    prefix::{Holder, PrefixIndex},
+    room::Room,
 };
 
-/// How much of the time to write the answer counts against the time to its first token.
-const DECODE_SHARE: f64 = 0.25;
+/// An endpoint must be expected to be done this much before the deadline.
+const DEADLINE_MARGIN: f64 = 1.2;
+/// A request waits for another one's reading only with this much time to spare.
+const WAITING_MARGIN: f64 = 3.0;
 
 /// The part of the core's state that a choice needs.
 pub(crate) struct Chooser<'a> {
     pub(crate) policy: &'a Policy,
     pub(crate) endpoints: &'a SecondaryMap<EndpointKey, Endpoint>,
     pub(crate) prefixes: &'a PrefixIndex,
+    pub(crate) room: &'a Room,
     pub(crate) now: Millis,
 }
 
@@ -28,6 +32,7 @@
 pub(crate) struct Placed {
     pub(crate) choice: Choice,
     pub(crate) unread_tokens: u32,
+    pub(crate) long_prefill: bool,
     pub(crate) is_long: bool,
 }
 
@@ -41,7 +46,9 @@
             true => self.prefixes.holders(&req.prefix),
             false => Default::default(),
         };
-        let may_be_long = self.policy.room_for_short && self.long_allowed();
+        if holders.iter().any(|h| h.is_reading && self.is_worth_waiting(req, h, answer_tokens)) {
+            return None;
+        }
         let mut best: Option<(f64, Placed)> = None;
         for (key, endpoint) in self.endpoints {
             if endpoint.free(self.now) == 0 {
@@ -54,33 +61,65 @@
             let cached_tokens = (blocks * self.policy.block_tokens).min(req.prompt_tokens);
             let unread_tokens = req.prompt_tokens - cached_tokens;
             let prefill = f64::from(unread_tokens) * endpoint.prefill_ms();
-            let is_long = prefill > self.policy.long_prefill_ms;
-            if self.policy.room_for_short && is_long && self.blocks_long(endpoint, may_be_long) {
+            let write = answer_tokens * endpoint.decode_ms();
+            let long_prefill = prefill > self.policy.long_prefill_ms;
+            let is_long = prefill + write > self.policy.long_service_ms;
+            let is_holder = 2 * cached_tokens > req.prompt_tokens;
+            if !self.room.allows(endpoint, key, long_prefill, is_long && !is_holder) {
                 continue;
             }
             let first_token_ms = endpoint.first_token_ms(unread_tokens);
-            let decode = answer_tokens * endpoint.decode_ms() * DECODE_SHARE;
-            let score = first_token_ms + self.policy.prefill_price * prefill + decode;
+            if !self.is_in_time(req, endpoint, first_token_ms + write) {
+                continue;
+            }
+            let lost = self.lost_prefill_ms(req, key, endpoint, blocks, long_prefill);
+            let score = first_token_ms + self.policy.prefill_price * (prefill + lost) + write;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice { endpoint: key, first_token_ms, cached_tokens };
-                best = Some((score, Placed { choice, unread_tokens, is_long }));
+                best = Some((score, Placed { choice, unread_tokens, long_prefill, is_long }));
             }
         }
         best.map(|(_, placed)| placed)
     }
 
-    /// Says whether one more endpoint may be given a long prompt to read.
-    ///
-    /// A quarter of the endpoints stays free of them, so that short work never
-    /// has to wait behind a long prompt everywhere.
-    fn long_allowed(&self) -> bool {
-        let busy = self.endpoints.values().filter(|e| e.has_long_prefill()).count();
-        let usable = self.endpoints.values().filter(|e| !e.leaving).count();
-        busy < (usable * 3 / 4).max(1)
+    /// Says whether a request should wait until an endpoint has read the start of
+    /// its prompt for another one: sent earlier, it would be read twice.
+    fn is_worth_waiting(&self, req: &Descriptor, holder: &Holder, answer_tokens: f64) -> bool {
+        let Some(endpoint) = self.endpoints.get(holder.endpoint) else { return false };
+        let shared = holder.blocks * self.policy.block_tokens;
+        let saved = f64::from(shared) * endpoint.prefill_ms();
+        let needed = endpoint.first_token_ms(0) + answer_tokens * endpoint.decode_ms();
+        saved > self.policy.long_prefill_ms
+            && endpoint.free(self.now) > 0
+            && self.now + needed * WAITING_MARGIN <= req.deadline
     }
 
-    fn blocks_long(&self, endpoint: &Endpoint, may_be_long: bool) -> bool {
-        endpoint.has_long_prefill() || !may_be_long
+    /// Estimates the reading that will be repeated because the endpoint's cache
+    /// has to drop blocks for this prompt.
+    fn lost_prefill_ms(
+        &self,
+        req: &Descriptor,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        held_blocks: u32,
+        long_prefill: bool,
+    ) -> Millis {
+        if !self.policy.spare_hot_blocks || !long_prefill {
+            return 0.0;
+        }
+        let new = (req.prefix.len() as u32).saturating_sub(held_blocks);
+        let tokens = self.prefixes.loss(key, new) * f64::from(self.policy.block_tokens);
+        tokens * endpoint.prefill_ms()
+    }
+
+    /// Says whether the endpoint would answer before the caller stops waiting.
+    ///
+    /// An idle endpoint always may try, so that a wrong estimate can be unlearned.
+    fn is_in_time(&self, req: &Descriptor, endpoint: &Endpoint, needed_ms: Millis) -> bool {
+        if !self.policy.deadline_aware || endpoint.in_flight() == 0 {
+            return true;
+        }
+        self.now + needed_ms * DEADLINE_MARGIN <= req.deadline
     }
 
     /// Picks an endpoint as a baseline of the bench does, full or not.
@@ -109,7 +148,8 @@
         let endpoint = &self.endpoints[key];
         let first_token_ms = endpoint.first_token_ms(req.prompt_tokens);
         let choice = Choice { endpoint: key, first_token_ms, cached_tokens: 0 };
-        Some(Placed { choice, unread_tokens: req.prompt_tokens, is_long: false })
+        let unread_tokens = req.prompt_tokens;
+        Some(Placed { choice, unread_tokens, long_prefill: false, is_long: false })
     }
 }
 
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -9,7 +9,7 @@
 use crate::{
     budget::RetryBudget,
     choose::{Chooser, Draw, Placed},
-    endpoint::{Endpoint, Sent},
+    endpoint::{Endpoint, SendOrder, Sent, is_tight},
     event::{
         Action, Descriptor, Ending, EndpointKey, EndpointSpec, Event, KindId, Millis, OrgId, Rank,
         Refusal, Ticket, Why,
@@ -18,6 +18,7 @@
     policy::{Placement, Policy, TierPolicy},
     prefix::PrefixIndex,
     queue::{Queue, Waiting},
+    room::Room,
     shed::{Pool, Shedder},
 };
 
@@ -58,6 +59,8 @@
     kind: KindId,
     prompt_tokens: u32,
     cost: f64,
+    /// The first block of the prompt, until it is read.
+    reading: Option<u64>,
     sent: Sent,
 }
 
@@ -97,6 +100,7 @@
     now: Millis,
     endpoints: SecondaryMap<EndpointKey, Endpoint>,
     prefixes: PrefixIndex,
+    room: Room,
     queue: Queue,
     flights: HashMap<Ticket, Flight>,
     shedder: Shedder,
@@ -121,6 +125,7 @@
             now: 0.0,
             endpoints: SecondaryMap::new(),
             prefixes: PrefixIndex::default(),
+            room: Room::new(policy.room_for_short),
             queue: Queue::new(policy.fair_share),
             flights: HashMap::new(),
             shedder: Shedder::default(),
@@ -195,7 +200,7 @@
         Counts {
             waiting: self.queue.len() as u32,
             in_flight: self.flights.len() as u32,
-            room: self.room(),
+            room: self.slots(),
             open_breakers: open as u32,
         }
     }
@@ -216,7 +221,8 @@
         if self.policy.drop_late && waiting.latest_start < self.now {
             return self.refuse(ticket, rank, self.now, Refusal::Late);
         }
-        if self.policy.shedding && self.shedder.bars(rank) {
+        let lowest = self.queue.len_below(rank) == 0;
+        if self.policy.shedding && lowest && self.shedder.bars(rank) {
             return self.yield_load(ticket, rank, self.now);
         }
         self.queue.push(ticket, waiting);
@@ -263,14 +269,14 @@
     /// Dispatches the request whose turn it is; false when none can go.
     fn dispatch_one(&mut self) -> bool {
         let in_flight = self.flights.len() as u32;
-        if self.room() <= in_flight {
+        if self.slots() <= in_flight {
             return false;
         }
         for (rank, by_floor) in self.turns() {
             if !by_floor && !self.has_headroom(rank, in_flight) {
                 continue;
             }
-            if self.dispatch_head(rank) {
+            if self.dispatch_from(rank) {
                 return true;
             }
         }
@@ -304,12 +310,15 @@
         let above = usize::from(rank).min(self.demand.len());
         let kept: f64 = self.demand[..above].iter().map(Demand::unused).sum();
         // One slot in two stays usable, so that a small pool is never blocked.
-        let kept = kept.min(f64::from(self.room()) / 2.0);
-        f64::from(in_flight) + kept < f64::from(self.room())
+        let kept = kept.min(f64::from(self.slots()) / 2.0);
+        f64::from(in_flight) + kept < f64::from(self.slots())
     }
 
-    fn dispatch_head(&mut self, rank: Rank) -> bool {
-        let Some(ticket) = self.queue.head(rank) else { return false };
+    fn dispatch_from(&mut self, rank: Rank) -> bool {
+        self.queue.heads(rank).into_iter().any(|ticket| self.dispatch_ticket(ticket))
+    }
+
+    fn dispatch_ticket(&mut self, ticket: Ticket) -> bool {
         let Some(waiting) = self.queue.get(ticket) else { return false };
         let answer = self.answer_tokens(&waiting.descriptor);
         let Some(placed) = self.chooser().choose(&waiting.descriptor, answer) else { return false };
@@ -333,6 +342,7 @@
             policy: &self.policy,
             endpoints: &self.endpoints,
             prefixes: &self.prefixes,
+            room: &self.room,
             now: self.now,
         }
     }
@@ -341,9 +351,20 @@
         let why = self.why(waiting.descriptor.rank, waiting.since);
         let Waiting { descriptor: req, cost, .. } = waiting;
         let key = placed.choice.endpoint;
-        let sent =
-            self.endpoints[key].send(self.now, placed.unread_tokens, placed.is_long, req.streamed);
+        let order = SendOrder {
+            unread_tokens: placed.unread_tokens,
+            long_prefill: placed.long_prefill,
+            is_long: placed.is_long,
+            streamed: req.streamed,
+            deadline: req.deadline,
+        };
+        let sent = self.endpoints[key].send(self.now, &order);
+        self.room.count(&self.endpoints);
         self.prefixes.store(key, &req.prefix);
+        let reading = req.prefix.first().copied().filter(|_| req.streamed);
+        if let Some(block) = reading {
+            self.prefixes.begin_reading(key, block);
+        }
         let now = self.now;
         self.dispatched.add(now, cost);
         self.tier_rate(req.rank).add(now, cost);
@@ -359,6 +380,7 @@
             kind: req.kind,
             prompt_tokens: req.prompt_tokens,
             cost,
+            reading,
             sent,
         };
         self.flights.insert(ticket, flight);
@@ -391,7 +413,7 @@
 
     /// Estimates the engine time that the pool works off in a millisecond.
     fn capacity(&self) -> f64 {
-        let by_slots = f64::from(self.room()) * self.cost_per_slot_ms.get() * IDLE_CAPACITY_SHARE;
+        let by_slots = f64::from(self.slots()) * self.cost_per_slot_ms.get() * IDLE_CAPACITY_SHARE;
         self.dispatched.per_ms(self.now).max(by_slots)
     }
 
@@ -417,11 +439,11 @@
             waiting_below: self.queue.len_below(rank),
             tier_wait_ms: self.with_pool(|pool| Shedder::wait(pool, rank)),
             in_flight: self.flights.len() as u32,
-            room: self.room(),
+            room: self.slots(),
         }
     }
 
-    fn room(&self) -> u32 {
+    fn slots(&self) -> u32 {
         self.endpoints.values().filter(|e| !e.leaving).map(|e| e.room(self.now)).sum()
     }
 
@@ -429,14 +451,24 @@
         let Some(flight) = self.flights.get_mut(&ticket) else { return };
         let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
         endpoint.first_token(self.now, &mut flight.sent);
+        if let Some(block) = flight.reading.take() {
+            self.prefixes.end_reading(flight.endpoint, block);
+        }
         self.base_ms.add(endpoint.base_ms());
         self.prefill_ms.add(endpoint.prefill_ms());
+        self.room.count(&self.endpoints);
     }
 
     fn end(&mut self, ticket: Ticket, ending: Ending) {
         let Some(mut flight) = self.flights.remove(&ticket) else { return };
         let now = self.now;
         self.tier_demand(flight.rank).change(now, -1);
+        if let Some(block) = flight.reading.take() {
+            self.prefixes.end_reading(flight.endpoint, block);
+        }
+        if !flight.sent.is_long {
+            self.room.short_ended(is_tight(now, &flight.sent));
+        }
         let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
         match ending {
             Ending::Whole { answer_tokens } => {
@@ -474,6 +506,7 @@
             None => {
                 let endpoint = Endpoint::new(spec, self.policy.adaptive_limit, self.now);
                 self.endpoints.insert(key, endpoint);
+                self.room.allow(key);
             }
         }
     }
@@ -505,6 +538,8 @@
     }
 
     fn tick(&mut self) {
+        let floor = self.policy.tiers.iter().map(|t| t.floor).fold(0.0, f64::max);
+        self.room.review(self.now, &self.endpoints, floor);
         for demand in &mut self.demand {
             demand.settle(self.now);
         }
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -3,7 +3,7 @@
 use crate::{
     breaker::Breaker,
     event::{EndpointSpec, Millis, Report},
-    learn::Average,
+    learn::{Average, Line},
     limit::Limit,
 };
 
@@ -18,6 +18,8 @@
 /// Answers with fewer tokens say little on the writing speed.
 const MIN_DECODE_SAMPLE_TOKENS: u32 = 4;
 const LEARN_STEP: f64 = 0.1;
+/// An answer that took this share of the caller's time says that the endpoint is too full.
+const TIGHT_SHARE: f64 = 0.7;
 /// A silent endpoint is given this long on top of what it was expected to need.
 const SILENCE_MS: Millis = 5_000.0;
 const SILENCE_FACTOR: f64 = 4.0;
@@ -33,7 +35,12 @@
     pub(crate) expected_ms: Millis,
     pub(crate) unread_tokens: u32,
     pub(crate) ahead_tokens: u32,
+    /// Whether its prompt takes long to read.
+    pub(crate) long_prefill: bool,
+    /// Whether it takes long as a whole.
     pub(crate) is_long: bool,
+    pub(crate) deadline: Millis,
+    pub(crate) in_flight: u32,
     /// Whether the start of the answer will be seen.
     pub(crate) streamed: bool,
     /// Whether the prompt is taken to be read.
@@ -41,6 +48,16 @@
     pub(crate) first_token_at: Option<Millis>,
 }
 
+/// What an endpoint is told of a request that it is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendOrder {
+    pub(crate) unread_tokens: u32,
+    pub(crate) long_prefill: bool,
+    pub(crate) is_long: bool,
+    pub(crate) streamed: bool,
+    pub(crate) deadline: Millis,
+}
+
 /// State and estimates of an endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -52,10 +69,11 @@
     in_flight: u32,
     unread_tokens: u32,
     long_prefills: u32,
+    longs: u32,
     awaited_first_tokens: u32,
     base_ms: Average,
     prefill_ms: Average,
-    decode_ms: Average,
+    decode_ms: Line,
     heard_at: Millis,
     reported: u32,
     foreign: f64,
@@ -97,10 +115,11 @@
             in_flight: 0,
             unread_tokens: 0,
             long_prefills: 0,
+            longs: 0,
             awaited_first_tokens: 0,
             base_ms: Average::new(PRIOR_BASE_MS, LEARN_STEP),
             prefill_ms: Average::new(PRIOR_PREFILL_MS, LEARN_STEP),
-            decode_ms: Average::new(PRIOR_DECODE_MS, LEARN_STEP),
+            decode_ms: Line::new(PRIOR_DECODE_MS, LEARN_STEP),
             heard_at: now,
             reported: 0,
             foreign: 0.0,
@@ -158,38 +177,42 @@
         self.prefill_ms.get()
     }
 
+    /// Estimates the time between two tokens with one more request in flight.
     pub(crate) fn decode_ms(&self) -> Millis {
-        self.decode_ms.get()
+        self.decode_ms.at(f64::from(self.in_flight + 1))
+    }
+
+    /// Says whether the endpoint holds a long request in any phase.
+    pub(crate) fn has_long(&self) -> bool {
+        self.longs > 0
     }
 
     pub(crate) fn base_ms(&self) -> Millis {
         self.base_ms.get()
     }
 
-    pub(crate) fn send(
-        &mut self,
-        now: Millis,
-        unread_tokens: u32,
-        is_long: bool,
-        streamed: bool,
-    ) -> Sent {
+    pub(crate) fn send(&mut self, now: Millis, order: &SendOrder) -> Sent {
+        if self.awaited_first_tokens == 0 {
+            self.heard_at = now;
+        }
+        self.in_flight += 1;
         let sent = Sent {
             at: now,
-            expected_ms: self.first_token_ms(unread_tokens),
-            unread_tokens,
+            expected_ms: self.first_token_ms(order.unread_tokens),
+            unread_tokens: order.unread_tokens,
             ahead_tokens: self.unread_tokens,
-            is_long,
-            streamed,
+            long_prefill: order.long_prefill,
+            is_long: order.is_long,
+            deadline: order.deadline,
+            in_flight: self.in_flight,
+            streamed: order.streamed,
             is_read: false,
             first_token_at: None,
         };
-        if self.awaited_first_tokens == 0 {
-            self.heard_at = now;
-        }
-        self.awaited_first_tokens += u32::from(streamed);
-        self.in_flight += 1;
-        self.unread_tokens += unread_tokens;
-        self.long_prefills += u32::from(is_long);
+        self.awaited_first_tokens += u32::from(order.streamed);
+        self.unread_tokens += order.unread_tokens;
+        self.long_prefills += u32::from(order.long_prefill);
+        self.longs += u32::from(order.is_long);
         self.peaks.note(now, self.in_flight);
         self.breaker.sent();
         sent
@@ -210,18 +233,24 @@
     }
 
     pub(crate) fn finish(&mut self, now: Millis, sent: &mut Sent, answer_tokens: u32) {
+        let mean_in_flight = f64::from(sent.in_flight + self.in_flight) / 2.0;
         self.release(sent);
         self.heard_at = now;
         self.breaker.succeeded();
+        if is_tight(now, sent) {
+            self.limit.was_tight(now);
+        }
         let Some(first) = sent.first_token_at else { return };
         if answer_tokens >= MIN_DECODE_SAMPLE_TOKENS {
-            self.decode_ms.add((now - first) / f64::from(answer_tokens));
+            let ms = (now - first) / f64::from(answer_tokens);
+            self.decode_ms.add(mean_in_flight, ms);
         }
     }
 
     /// Takes back a request that ended without a whole answer.
     pub(crate) fn release(&mut self, sent: &mut Sent) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.longs = self.longs.saturating_sub(u32::from(sent.is_long));
         self.finish_prefill(sent);
         if sent.first_token_at.is_none() {
             self.awaited_first_tokens -= u32::from(sent.streamed);
@@ -257,7 +286,7 @@
             return;
         }
         self.unread_tokens = self.unread_tokens.saturating_sub(sent.unread_tokens);
-        self.long_prefills = self.long_prefills.saturating_sub(u32::from(sent.is_long));
+        self.long_prefills = self.long_prefills.saturating_sub(u32::from(sent.long_prefill));
     }
 
     fn learn_first_token(&mut self, sent: &Sent, seen: Millis) {
@@ -271,3 +300,8 @@
         }
     }
 }
+
+/// Says whether the endpoint took nearly all of the time that the caller had left.
+pub(crate) fn is_tight(now: Millis, sent: &Sent) -> bool {
+    now - sent.at > TIGHT_SHARE * (sent.deadline - sent.at)
+}
--- a/crates/decide/src/learn.rs
+++ b/crates/decide/src/learn.rs
@@ -69,6 +69,43 @@
     }
 }
 
+/// A straight line through noisy points, by least squares that forgets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Line {
+    step: f64,
+    samples: u32,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Line {
+    /// Makes a level line at `prior` whose newest sample weighs `step`, 0 to 1.
+    pub(crate) fn new(prior: f64, step: f64) -> Self {
+        Self { step, samples: 0, x: 0.0, y: prior, xx: 0.0, xy: 0.0 }
+    }
+
+    pub(crate) fn add(&mut self, x: f64, y: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let step = self.step.max(1.0 / f64::from(self.samples + 1));
+        self.x += (x - self.x) * step;
+        self.y += (y - self.y) * step;
+        self.xx += (x * x - self.xx) * step;
+        self.xy += (x * y - self.xy) * step;
+    }
+
+    /// Returns the line's height; a slope below zero is taken for noise.
+    pub(crate) fn at(&self, x: f64) -> f64 {
+        let variance = self.xx - self.x * self.x;
+        if variance < 0.5 {
+            return self.y;
+        }
+        let slope = ((self.xy - self.x * self.y) / variance).max(0.0);
+        (self.y + slope * (x - self.x)).max(self.y * 0.25)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -82,6 +119,16 @@
         assert!((rate.per_ms(200.0) - 3.0).abs() < 0.1, "{}", rate.per_ms(200.0));
     }
 
+    #[test]
+    fn a_line_follows_its_points() {
+        let mut line = Line::new(25.0, 0.05);
+        for n in 0..200 {
+            let x = f64::from(n % 20);
+            line.add(x, 15.0 + 0.5 * x);
+        }
+        assert!((line.at(30.0) - 30.0).abs() < 1.0, "{}", line.at(30.0));
+    }
+
     #[test]
     fn a_wrong_prior_goes_fast() {
         let mut average = Average::new(1000.0, 0.1);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,7 +8,8 @@
 //! The parts, in the order in which a request meets them:
 //! - `queue` holds what waits, by tier, organisation and deadline;
 //! - `shed` decides which waiting request yields under overload;
-//! - `choose` picks the endpoint, by the estimates of `endpoint` and `prefix`;
+//! - `choose` picks the endpoint, by the estimates of `endpoint` and `prefix`,
+//!   among those where `room` lets it;
 //! - `limit`, `breaker` and `budget` protect endpoints from too much work;
 //! - `learn` keeps the averages that the estimates rest on.
 //!
@@ -25,6 +26,7 @@
 mod policy;
 mod prefix;
 mod queue;
+mod room;
 mod shed;
 
 pub use crate::{
--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Learns from an answer whose caller had nearly stopped waiting.
+    pub(crate) fn was_tight(&mut self, now: Millis) {
+        self.fall(now);
+    }
+
     fn fall(&mut self, now: Millis) {
         if now - self.fell_at < FALL_INTERVAL_MS {
             return;
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -51,7 +51,7 @@
     pub floors: bool,
     /// Whether slots are kept for more urgent work.
     pub headroom: bool,
-    /// Whether long prompts are kept off some endpoints.
+    /// Whether long work is kept off some endpoints.
     pub room_for_short: bool,
     /// Whether in-flight limits adapt.
     pub adaptive_limit: bool,
@@ -59,10 +59,16 @@
     pub breaker: bool,
     /// Whether cached prefixes count in the choice.
     pub prefix_aware: bool,
+    /// Whether a choice counts what the endpoint's cache would have to drop.
+    pub spare_hot_blocks: bool,
     /// Whether requests that cannot meet their deadline are refused.
     pub drop_late: bool,
     /// Whether overload sheds.
     pub shedding: bool,
+    /// Whether endpoints that would answer too late are passed over.
+    pub deadline_aware: bool,
+    /// A request that takes longer than this on an endpoint is long, in milliseconds.
+    pub long_service_ms: Millis,
     /// A prompt that takes longer than this to read is long, in milliseconds.
     pub long_prefill_ms: Millis,
     /// How many milliseconds of wait a millisecond of repeated prefill is worth.
@@ -86,10 +92,13 @@
             adaptive_limit: true,
             breaker: true,
             prefix_aware: true,
+            spare_hot_blocks: true,
             drop_late: true,
             shedding: true,
+            deadline_aware: true,
+            long_service_ms: 5_000.0,
             long_prefill_ms: 400.0,
-            prefill_price: 1.0,
+            prefill_price: 8.0,
             block_tokens: 256,
             seed: 1,
         }
--- a/crates/decide/src/prefix.rs
+++ b/crates/decide/src/prefix.rs
@@ -15,6 +15,38 @@
 pub(crate) struct PrefixIndex {
     holders: HashMap<u64, SmallVec<[EndpointKey; 2]>>,
     caches: HashMap<EndpointKey, Cache>,
+    uses: Uses,
+}
+
+/// How often blocks were asked for lately, whether or not they are still held.
+#[derive(Debug, Default)]
+struct Uses {
+    counts: HashMap<u64, f32>,
+}
+
+/// Blocks whose uses are remembered; beyond it all counts are halved.
+const MAX_COUNTED_BLOCKS: usize = 100_000;
+/// Counts below this are forgotten when the counts are halved.
+const MIN_COUNT: f32 = 0.6;
+/// Dropped blocks that are looked at to judge an endpoint's loss.
+const SAMPLED_BLOCKS: usize = 4;
+
+impl Uses {
+    fn note(&mut self, block: u64) {
+        *self.counts.entry(block).or_default() += 1.0;
+        if self.counts.len() > MAX_COUNTED_BLOCKS {
+            self.counts.retain(|_, count| {
+                *count /= 2.0;
+                *count >= MIN_COUNT
+            });
+        }
+    }
+
+    /// Estimates how likely a block is asked for again before it is dropped anyway.
+    fn reuse(&self, block: u64) -> f64 {
+        let earlier = self.counts.get(&block).map_or(0.0, |count| f64::from(*count) - 1.0);
+        earlier.max(0.0) / (earlier.max(0.0) + 1.0)
+    }
 }
 
 /// Least recently used order of one endpoint's blocks.
@@ -24,6 +56,8 @@
     used_at: HashMap<u64, u64>,
     by_use: BTreeMap<u64, u64>,
     clock: u64,
+    /// First blocks of the prompts that are being read, once for each request.
+    reading: SmallVec<[u64; 4]>,
 }
 
 impl Cache {
@@ -59,6 +93,8 @@
 pub(crate) struct Holder {
     pub(crate) endpoint: EndpointKey,
     pub(crate) blocks: u32,
+    /// Whether the endpoint is still reading a prompt that starts like this one.
+    pub(crate) is_reading: bool,
 }
 
 impl PrefixIndex {
@@ -77,6 +113,7 @@
             return;
         }
         for &block in blocks.iter().rev() {
+            self.uses.note(block);
             if cache.touch(block) {
                 self.holders.entry(block).or_default().push(endpoint);
             }
@@ -86,6 +123,21 @@
         }
     }
 
+    /// Notes that an endpoint begins to read a prompt.
+    pub(crate) fn begin_reading(&mut self, endpoint: EndpointKey, first_block: u64) {
+        if let Some(cache) = self.caches.get_mut(&endpoint) {
+            cache.reading.push(first_block);
+        }
+    }
+
+    /// Notes that an endpoint has read a prompt, or will not.
+    pub(crate) fn end_reading(&mut self, endpoint: EndpointKey, first_block: u64) {
+        let Some(cache) = self.caches.get_mut(&endpoint) else { return };
+        if let Some(at) = cache.reading.iter().position(|b| *b == first_block) {
+            cache.reading.swap_remove(at);
+        }
+    }
+
     /// Notes that an endpoint dropped these blocks.
     pub(crate) fn drop_blocks(&mut self, endpoint: EndpointKey, blocks: &[u64]) {
         let Some(cache) = self.caches.get_mut(&endpoint) else { return };
@@ -104,12 +156,29 @@
         }
     }
 
+    /// Estimates how many blocks that will be asked for again an endpoint would
+    /// drop to take `new` blocks.
+    pub(crate) fn loss(&self, endpoint: EndpointKey, new: u32) -> f64 {
+        let Some(cache) = self.caches.get(&endpoint) else { return 0.0 };
+        let dropped = (cache.used_at.len() + new as usize).saturating_sub(cache.capacity);
+        if dropped == 0 || cache.capacity == 0 {
+            return 0.0;
+        }
+        let stride = dropped.div_ceil(SAMPLED_BLOCKS).max(1);
+        let sampled = cache.by_use.values().take(dropped).step_by(stride);
+        let (sum, count) = sampled
+            .fold((0.0, 0.0), |(sum, count), block| (sum + self.uses.reuse(*block), count + 1.0));
+        if count == 0.0 { 0.0 } else { sum / count * dropped as f64 }
+    }
+
     /// Lists the endpoints that hold at least the first block of a prompt.
     pub(crate) fn holders(&self, prefix: &[u64]) -> SmallVec<[Holder; 8]> {
         let mut found = SmallVec::new();
         let Some(first) = prefix.first().and_then(|b| self.holders.get(b)) else { return found };
         for &endpoint in first {
-            found.push(Holder { endpoint, blocks: self.held(endpoint, prefix) });
+            let is_reading =
+                self.caches.get(&endpoint).is_some_and(|c| c.reading.contains(&prefix[0]));
+            found.push(Holder { endpoint, blocks: self.held(endpoint, prefix), is_reading });
         }
         found
     }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -10,6 +10,8 @@
     collections::{BTreeMap, BTreeSet, HashMap},
 };
 
+use smallvec::SmallVec;
+
 use crate::event::{Descriptor, Millis, OrgId, Rank, Ticket};
 
 /// A number that sorts; the core makes no NaN.
@@ -75,6 +77,8 @@
     fair_share: bool,
 }
 
+/// Requests of a tier that are tried at a turn.
+const MAX_HEADS: usize = 8;
 /// Idle organisations are forgotten when a tier knows this many.
 const FORGET_IDLE_ABOVE: usize = 4096;
 
@@ -122,11 +126,16 @@
         self.waiting.insert(ticket, waiting);
     }
 
-    /// Returns the request of a tier whose turn it is.
-    pub(crate) fn head(&self, rank: Rank) -> Option<Ticket> {
-        let tier = self.tiers.get(&rank)?;
-        let (_, org) = tier.by_start.first()?;
-        tier.orgs[org].by_deadline.first().map(|(_, ticket)| *ticket)
+    /// Lists requests of a tier in the order of their turns.
+    ///
+    /// More than one, so that a request that has to wait for an endpoint of its
+    /// own does not hold up those behind it.
+    pub(crate) fn heads(&self, rank: Rank) -> SmallVec<[Ticket; MAX_HEADS]> {
+        let Some(tier) = self.tiers.get(&rank) else { return SmallVec::new() };
+        let first_of =
+            |(_, org): &(Ordered, OrgId)| tier.orgs[org].by_deadline.iter().take(MAX_HEADS);
+        let tickets = tier.by_start.iter().flat_map(first_of).map(|(_, ticket)| *ticket);
+        tickets.take(MAX_HEADS).collect()
     }
 
     /// Takes a request out to dispatch it, and charges its organisation.
@@ -278,11 +287,10 @@
     fn a_small_organisation_goes_before_the_backlog_of_a_large_one() {
         let mut queue = Queue::new(true);
         (0..10).for_each(|t| push(&mut queue, t, 1, 10.0));
-        (0..3).for_each(|_| drop(queue.dispatch(queue.head(0).unwrap())));
+        (0..3).for_each(|_| drop(queue.dispatch(queue.heads(0)[0])));
         push(&mut queue, 100, 2, 10.0);
-        let served: Vec<_> = (0..2)
-            .map(|_| queue.dispatch(queue.head(0).unwrap()).unwrap().descriptor.org.0)
-            .collect();
+        let served: Vec<_> =
+            (0..2).map(|_| queue.dispatch(queue.heads(0)[0]).unwrap().descriptor.org.0).collect();
         assert!(served.contains(&2), "{served:?}");
     }
 
--- /dev/null
+++ b/crates/decide/src/room.rs
@@ -0,0 +1,134 @@
+//! Keeps long work off some endpoints, so that short work stays quick.
+//!
+//! An engine that reads a long prompt or writes many answers side by side is
+//! slow for everyone in it. Long work is therefore packed on a part of the
+//! endpoints. The part shrinks while short work nearly misses its deadlines and
+//! grows while it does not; it never shrinks below the floors of the tiers. See
+//! [room for short work](../../../docs/decisions.md#room-for-short-work).
+
+use std::cell::Cell;
+
+use slotmap::SecondaryMap;
+
+use crate::{
+    endpoint::Endpoint,
+    event::{EndpointKey, Millis},
+};
+
+/// The part is set anew this often.
+const REVIEW_MS: Millis = 1_000.0;
+/// The part shrinks when this share of short answers was tight.
+const MAX_TIGHT_SHARE: f64 = 0.01;
+const SHRINK: f64 = 0.75;
+/// Part of the endpoints by which it grows at a review.
+const GROW: f64 = 0.03;
+/// The part that long work may use before it asks for more.
+const USUAL_PART: f64 = 0.35;
+/// How fast an unused part returns to the usual one at a review.
+const RETURN: f64 = 0.05;
+/// At most this part of the endpoints reads long prompts at once.
+const MAX_LONG_PREFILLS: f64 = 0.75;
+
+/// Which endpoints may take long work.
+#[derive(Debug)]
+pub(crate) struct Room {
+    enabled: bool,
+    /// Part of the endpoints that may hold long work, 0 to 1.
+    part: f64,
+    allowed: SecondaryMap<EndpointKey, ()>,
+    may_read_long: bool,
+    reviewed_at: Millis,
+    short_answers: u32,
+    tight_answers: u32,
+    /// Whether long work was kept off an endpoint since the last review.
+    wanted: Cell<bool>,
+}
+
+impl Room {
+    pub(crate) fn new(enabled: bool) -> Self {
+        Self {
+            enabled,
+            part: USUAL_PART,
+            allowed: SecondaryMap::new(),
+            may_read_long: true,
+            reviewed_at: 0.0,
+            short_answers: 0,
+            tight_answers: 0,
+            wanted: Cell::new(false),
+        }
+    }
+
+    /// Lets a new endpoint take long work until the next review.
+    pub(crate) fn allow(&mut self, key: EndpointKey) {
+        self.allowed.insert(key, ());
+    }
+
+    /// Learns from a short request that was answered or timed out.
+    pub(crate) fn short_ended(&mut self, tight: bool) {
+        self.short_answers += 1;
+        self.tight_answers += u32::from(tight);
+    }
+
+    /// Says whether an endpoint may be given a request.
+    pub(crate) fn allows(
+        &self,
+        endpoint: &Endpoint,
+        key: EndpointKey,
+        long_prefill: bool,
+        is_long: bool,
+    ) -> bool {
+        if !self.enabled {
+            return true;
+        }
+        if long_prefill && (endpoint.has_long_prefill() || !self.may_read_long) {
+            return false;
+        }
+        if is_long && !self.allowed.contains_key(key) {
+            self.wanted.set(true);
+            return false;
+        }
+        true
+    }
+
+    /// Notes how many endpoints read long prompts now.
+    pub(crate) fn count(&mut self, endpoints: &SecondaryMap<EndpointKey, Endpoint>) {
+        let reading = endpoints.values().filter(|e| e.has_long_prefill()).count();
+        let most = (endpoints.len() as f64 * MAX_LONG_PREFILLS).max(1.0);
+        self.may_read_long = (reading as f64) < most;
+    }
+
+    /// Sets the part anew; `floor` is what the tiers with long work keep.
+    pub(crate) fn review(
+        &mut self,
+        now: Millis,
+        endpoints: &SecondaryMap<EndpointKey, Endpoint>,
+        floor: f64,
+    ) {
+        if now - self.reviewed_at < REVIEW_MS {
+            return;
+        }
+        self.reviewed_at = now;
+        let tight = f64::from(self.tight_answers) > MAX_TIGHT_SHARE * f64::from(self.short_answers);
+        if tight {
+            self.part *= SHRINK;
+        } else if self.wanted.replace(false) {
+            self.part += GROW;
+        } else {
+            self.part += (USUAL_PART - self.part) * RETURN;
+        }
+        self.part = self.part.clamp(floor.min(1.0), 1.0);
+        self.short_answers = 0;
+        self.tight_answers = 0;
+        self.allow_slowest(endpoints);
+    }
+
+    /// Long work gets the slow endpoints, those that hold some already first among equals.
+    fn allow_slowest(&mut self, endpoints: &SecondaryMap<EndpointKey, Endpoint>) {
+        let usable = endpoints.iter().filter(|(_, e)| !e.leaving);
+        let mut order: Vec<(bool, f64, EndpointKey)> =
+            usable.map(|(key, e)| (e.has_long(), e.prefill_ms(), key)).collect();
+        order.sort_by(|a, b| b.1.total_cmp(&a.1).then(b.0.cmp(&a.0)));
+        let count = (order.len() as f64 * self.part).ceil().max(1.0) as usize;
+        self.allowed = order.into_iter().take(count).map(|(_, _, key)| (key, ())).collect();
+    }
+}
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -73,15 +73,10 @@
         };
         self.episode = Some(episode);
         let drained = pool.now - episode.since > DRAIN_MS;
-        for below in pool.queue.ranks().rev().take_while(|r| *r > rank) {
-            if drained || self.is_over_floor(pool, below) {
-                return pool.queue.victim(below);
-            }
-        }
-        if pool.queue.len_below(rank) > 0 {
-            return None;
-        }
-        pool.queue.victim(rank)
+        // Only the least urgent tier that waits may yield, whoever is overloaded.
+        let lowest = pool.queue.ranks().next_back()?;
+        let yields = lowest == rank || drained || self.is_over_floor(pool, lowest);
+        if yields { pool.queue.victim(lowest) } else { None }
     }
 
     /// Estimates how long a new request of the tier would wait.
