--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -222,7 +222,8 @@
             return self.refuse(ticket, rank, self.now, Refusal::Late);
         }
         let lowest = self.queue.len_below(rank) == 0;
-        if self.policy.shedding && lowest && self.shedder.bars(rank) {
+        if self.policy.shedding && lowest && self.shedder.bars(rank, self.now) {
+            self.shedder.was_shed(rank, self.now);
             return self.yield_load(ticket, rank, self.now);
         }
         self.queue.push(ticket, waiting);
@@ -394,6 +395,7 @@
         let mut shedder = std::mem::take(&mut self.shedder);
         while let Some(ticket) = self.next_victim(&mut shedder) {
             let Some(waiting) = self.queue.remove(ticket) else { break };
+            shedder.was_shed(waiting.descriptor.rank, self.now);
             self.yield_load(ticket, waiting.descriptor.rank, waiting.since);
         }
         self.shedder = shedder;
--- a/crates/decide/src/room.rs
+++ b/crates/decide/src/room.rs
@@ -21,7 +21,7 @@
 const MAX_TIGHT_SHARE: f64 = 0.01;
 const SHRINK: f64 = 0.75;
 /// Part of the endpoints by which it grows at a review.
-const GROW: f64 = 0.03;
+const GROW: f64 = 0.02;
 /// The part that long work may use before it asks for more.
 const USUAL_PART: f64 = 0.35;
 /// How fast an unused part returns to the usual one at a review.
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -20,6 +20,8 @@
 const FLOOR_WINDOW_MS: Millis = 500.0;
 /// Less urgent work that was not dispatched in this time is refused after all.
 const DRAIN_MS: Millis = 1_000.0;
+/// Nothing less urgent is admitted for this long after a tier was shed.
+const HOLD_MS: Millis = 2.0;
 /// No more requests wait in one pool, whatever the estimates say.
 const MAX_WAITING: usize = 20_000;
 
@@ -44,6 +46,8 @@
 pub(crate) struct Shedder {
     patience: Vec<Average>,
     episode: Option<Episode>,
+    /// The tier that was shed last.
+    shed: Option<Episode>,
 }
 
 impl Shedder {
@@ -57,8 +61,18 @@
     }
 
     /// Says whether offers of a tier are refused until more urgent work has been shed.
-    pub(crate) fn bars(&self, rank: Rank) -> bool {
-        self.episode.is_some_and(|e| rank > e.rank)
+    pub(crate) fn bars(&self, rank: Rank, now: Millis) -> bool {
+        let overloaded = self.episode.is_some_and(|e| rank > e.rank);
+        let shed = self.shed.is_some_and(|e| rank > e.rank && now - e.since <= HOLD_MS);
+        overloaded || shed
+    }
+
+    /// Notes that a request of the tier was refused for load.
+    pub(crate) fn was_shed(&mut self, rank: Rank, now: Millis) {
+        match self.shed {
+            Some(e) if e.rank < rank && now - e.since <= HOLD_MS => {}
+            _ => self.shed = Some(Episode { rank, since: now }),
+        }
     }
 
     /// Returns the next request that has to yield.
--- a/crates/entry/examples/quickstart.rs
+++ b/crates/entry/examples/quickstart.rs
@@ -2,16 +2,9 @@
 //!
 //! `cargo run --release --example quickstart`
 
-use std::{
-    collections::BTreeMap,
-    error::Error,
-    net::SocketAddr,
-    path::Path,
-    thread::{self, JoinHandle},
-    time::Duration,
-};
-
-use baobabvane::{Daemon, Settings, StopHandle};
+use std::{collections::BTreeMap, error::Error, net::SocketAddr, path::Path, time::Duration};
+
+use baobabvane::{Embedded, Operator, Settings};
 use baobabvane_domain::{Endpoint, Spec, Uuid};
 use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Received, Service};
 use baobabvanectl::{Manifest, OperatorClient, Table};
@@ -25,45 +18,24 @@
 const OPERATOR_TOKEN: &str = "quickstart-token";
 const QUOTES: usize = 40;
 
-/// An entry instance on a thread of its own.
+/// An entry instance with its name.
 struct Instance {
     name: &'static str,
-    callers: SocketAddr,
-    operators: SocketAddr,
-    stop: StopHandle,
-    thread: JoinHandle<usize>,
+    running: Embedded,
 }
 
 impl Instance {
     fn spawn(name: &'static str, zone: &str, log: SocketAddr) -> Result<Self> {
-        let args = Settings::args();
-        let flags = clap::Command::new("quickstart").args(args).get_matches_from([
-            "quickstart",
-            "--name",
-            name,
-            "--zone",
-            zone,
-            "--listen",
-            "127.0.0.1:0",
-            "--operator-listen",
-            "127.0.0.1:0",
-            "--log",
-            &log.to_string(),
-            "--operator-tokens",
-            &format!("ann={OPERATOR_TOKEN}"),
-        ]);
-        let settings = Settings::from_args(&flags)?;
-        let (tx, rx) = std::sync::mpsc::channel();
-        let thread = thread::spawn(move || {
-            runtime().block_on(async move {
-                let daemon = Daemon::bind(settings).expect("port 0 is free");
-                let addresses = (daemon.caller_address(), daemon.operator_address());
-                let _ = tx.send((addresses, daemon.stop_handle()));
-                daemon.serve().until_stopped().await
-            })
-        });
-        let ((callers, operators), stop) = rx.recv()?;
-        Ok(Self { name, callers: callers?, operators: operators?, stop, thread })
+        let settings = Settings {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            operator_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            log: Some(log),
+            operators: vec![Operator::new("ann", OPERATOR_TOKEN)],
+            ..Settings::default()
+        };
+        Ok(Self { name, running: Embedded::spawn(settings)? })
     }
 }
 
@@ -97,8 +69,7 @@
     })?;
     println!("log: {} appends; bookings executed: {}", log.appends(), bookings.calls());
     for instance in instances {
-        instance.stop.stop();
-        let cut = instance.thread.join().expect("an instance does not panic");
+        let cut = instance.running.stop();
         println!("{} stopped, {cut} requests cut off", instance.name);
     }
     Ok(())
@@ -108,7 +79,7 @@
 async fn apply(instances: &[Instance], endpoints: &[(&str, SocketAddr)]) -> Result<()> {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/quickstart.toml");
     let manifest = Manifest::load(&file)?;
-    let client = OperatorClient::new(instances[0].operators, OPERATOR_TOKEN)?;
+    let client = OperatorClient::new(instances[0].running.operators(), OPERATOR_TOKEN)?;
     while client.get("/readyz").await.is_err_and(|e| e.to_string().contains("not ready")) {
         sleep(Duration::from_millis(10)).await;
     }
@@ -125,7 +96,7 @@
     }
     println!("configuration applied through {}:\n{table}", instances[0].name);
     // The second instance reads the same records from the log.
-    let second = OperatorClient::new(instances[1].operators, OPERATOR_TOKEN)?;
+    let second = OperatorClient::new(instances[1].running.operators(), OPERATOR_TOKEN)?;
     while second.get("/v1/endpoints/bookings").await.is_err() {
         sleep(Duration::from_millis(10)).await;
     }
@@ -155,7 +126,7 @@
 }
 
 async fn call(instances: &[Instance], bookings: &Service) -> Result<()> {
-    let [a, b] = [0, 1].map(|n| Caller::new(instances[n].callers, CALLER_KEY));
+    let [a, b] = [0, 1].map(|n| Caller::new(instances[n].running.callers(), CALLER_KEY));
     let mut goodput = Goodput::default();
 
     let assessment = json!({"model": "assessment", "max_tokens": 400,
--- a/crates/entry/src/caller/keyed.rs
+++ b/crates/entry/src/caller/keyed.rs
@@ -20,7 +20,7 @@
         run::{self, Job, Trace},
     },
     request::{Admitted, Request},
-    tasks::claimant::{Claimed, MAX_KEPT_ANSWER_BYTES, ToClaimant},
+    tasks::claimant::{Claimed, Looked, MAX_KEPT_ANSWER_BYTES, ToClaimant},
 };
 
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -79,14 +79,21 @@
         .filter(|kind| !kind.spec.idempotent)
         .map(|kind| RequestKey { organisation: org.name.clone(), kind: kind.name.clone(), key })
         .collect();
-    let state = cx.claimant.ask(|reply| ToClaimant::Lookup { keys, reply }).await.flatten();
-    match state {
-        None => Err(Problem::not_run(404, "unknown key", "no request with this key is known here")),
-        Some(KeyState::Claimed { .. }) => {
+    let looked = cx.claimant.ask(|reply| ToClaimant::Lookup { keys, reply }).await;
+    match looked.unwrap_or(Looked::Unknown) {
+        Looked::Unclaimed => {
+            Err(Problem::not_run(404, "unknown key", "no request with this key was sent on"))
+        }
+        Looked::Unknown => {
+            let detail = "the log cannot tell now what became of this key";
+            let problem = Problem::new(503, "outcome unknown", detail, Verdict::MayHaveRun);
+            Err(problem.retry_after(2))
+        }
+        Looked::Found(KeyState::Claimed { .. }) => {
             let detail = "the request is in progress, or the instance that ran it has died";
             Err(Problem::new(409, "in progress", detail, Verdict::MayHaveRun))
         }
-        Some(state) => Ok(Reply::Whole(replay(&state)?)),
+        Looked::Found(state) => Ok(Reply::Whole(replay(&state)?)),
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod caller;
 mod clock;
 mod daemon;
+mod embedded;
 mod journal;
 mod link;
 mod message;
@@ -25,6 +26,6 @@
 mod view;
 
 pub use daemon::{Daemon, Serving, Starting, StopHandle};
-pub use message::Mailbox;
-pub use settings::{Peer, Settings, SettingsError};
+pub use embedded::Embedded;
+pub use settings::{Operator, Peer, Settings, SettingsError};
 pub use telemetry::install_logger;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -3,7 +3,7 @@
 use local_sync::{mpsc::unbounded, oneshot};
 
 /// The sending half of a task's channel; clones send to the same task.
-pub struct Mailbox<T> {
+pub(crate) struct Mailbox<T> {
     tx: unbounded::Tx<T>,
 }
 
--- a/crates/entry/src/operator/connection.rs
+++ b/crates/entry/src/operator/connection.rs
@@ -14,7 +14,11 @@
     operator::{OperatorContext, resources, watch},
     request::RequestId,
     settings::Operator,
-    tasks::{configurator::ToConfigurator, scheduler::ToScheduler},
+    tasks::{
+        claimant::{ClaimStatus, ToClaimant},
+        configurator::{ConfigStatus, ToConfigurator},
+        scheduler::{PoolStatus, ToScheduler},
+    },
 };
 
 /// Accepts connections until the listener is dropped with the daemon.
@@ -112,12 +116,14 @@
     draining: bool,
     active_requests: usize,
     connections: usize,
-    configuration: crate::tasks::configurator::ConfigStatus,
-    pools: Vec<crate::tasks::scheduler::PoolStatus>,
+    configuration: ConfigStatus,
+    claims: ClaimStatus,
+    pools: Vec<PoolStatus>,
 }
 
 async fn status(cx: &OperatorContext) -> Result<Response, Problem> {
     let configuration = cx.configurator.ask(ToConfigurator::Status).await.ok_or_else(stopping)?;
+    let claims = cx.caller.claimant.ask(ToClaimant::Status).await.ok_or_else(stopping)?;
     let pools = cx.caller.scheduler.ask(ToScheduler::Status).await.ok_or_else(stopping)?;
     let status = Status {
         instance: &cx.caller.settings.name,
@@ -127,6 +133,7 @@
         active_requests: cx.caller.active.get(),
         connections: cx.caller.connections.get(),
         configuration,
+        claims,
         pools,
     };
     Ok(json(200, &status))
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -41,6 +41,13 @@
     pub token_hash: String,
 }
 
+impl Operator {
+    /// Makes an operator of a name and a token.
+    pub fn new(name: &str, token: &str) -> Self {
+        Self { name: name.to_owned(), token_hash: baobabvane_domain::hash_api_key(token) }
+    }
+}
+
 /// All settings of an entry instance; times are in milliseconds, sizes in bytes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -304,10 +311,9 @@
 
 fn parse_operator(item: &str) -> Result<Operator, SettingsError> {
     match item.split_once('=') {
-        Some((name, token)) if !name.is_empty() && token.len() >= MIN_TOKEN_BYTES => Ok(Operator {
-            name: name.to_owned(),
-            token_hash: baobabvane_domain::hash_api_key(token),
-        }),
+        Some((name, token)) if !name.is_empty() && token.len() >= MIN_TOKEN_BYTES => {
+            Ok(Operator::new(name, token))
+        }
         // The value is a secret and stays out of the error.
         _ => Err(SettingsError {
             flag: "--operator-tokens",
--- a/crates/entry/src/tasks/claimant.rs
+++ b/crates/entry/src/tasks/claimant.rs
@@ -15,6 +15,7 @@
 use baobabvane_platform::{AppendError, Batch, LogClient, Stream};
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::{Instant, sleep, timeout};
+use serde::Serialize;
 
 use crate::{
     clock::unix_ms,
@@ -52,13 +53,35 @@
 pub(crate) enum ToClaimant {
     Claim { key: RequestKey, body_hash: u64, log_down: LogDown, reply: oneshot::Sender<Claimed> },
     End { key: RequestKey, owner: Owner, verdict: Verdict, answer: Option<Answer> },
-    Lookup { keys: Vec<RequestKey>, reply: oneshot::Sender<Option<KeyState>> },
+    Lookup { keys: Vec<RequestKey>, reply: oneshot::Sender<Looked> },
+    LookedAgain { keys: Vec<RequestKey>, batch: Option<Batch>, reply: oneshot::Sender<Looked> },
+    Status(oneshot::Sender<ClaimStatus>),
     Issue(oneshot::Sender<Uuid>),
     Read(Batch),
     ReadFailed,
     Appended(Sent, Result<u64, AppendError>),
 }
 
+/// What the log says of a key, for those who only want to know.
+#[derive(Clone, Debug)]
+pub(crate) enum Looked {
+    /// The key was claimed.
+    Found(KeyState),
+    /// Nobody had claimed the key when it was looked up.
+    Unclaimed,
+    /// The log cannot tell now, or not any more.
+    Unknown,
+}
+
+/// How the claims stand, for the operators.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct ClaimStatus {
+    pub(crate) log_reachable: bool,
+    pub(crate) caught_up: bool,
+    pub(crate) keys: usize,
+    pub(crate) unsettled: usize,
+}
+
 /// A batch on its way to the log.
 pub(crate) struct Sent {
     entries: Vec<Entry>,
@@ -169,8 +192,17 @@
             ToClaimant::End { key, owner, verdict, answer } => {
                 self.end(key, owner, verdict, answer);
             }
-            ToClaimant::Lookup { keys, reply } => {
-                let _ = reply.send(keys.iter().find_map(|k| self.ledger.get(k)).cloned());
+            ToClaimant::Lookup { keys, reply } => self.look_up(keys, reply),
+            ToClaimant::LookedAgain { keys, batch, reply } => {
+                self.looked_again(&keys, batch.as_ref(), reply);
+            }
+            ToClaimant::Status(reply) => {
+                let _ = reply.send(ClaimStatus {
+                    log_reachable: self.reachable,
+                    caught_up: self.caught_up,
+                    keys: self.ledger.len(),
+                    unsettled: self.pending.len(),
+                });
             }
             ToClaimant::Issue(reply) => {
                 self.serial += 1;
@@ -215,6 +247,44 @@
         self.claims_in_outbox = true;
     }
 
+    /// Looks a key up; one that is not found is looked up again after a fresh
+    /// read, as another instance may have claimed it a moment ago.
+    fn look_up(&mut self, keys: Vec<RequestKey>, reply: oneshot::Sender<Looked>) {
+        if let Some(state) = self.find(&keys) {
+            let _ = reply.send(Looked::Found(state));
+            return;
+        }
+        let (log, mailbox, next) = (self.log.clone(), self.mailbox.clone(), self.next);
+        monoio::spawn(async move {
+            let batch = log.read(Stream::Claims, next, Duration::ZERO).await.ok();
+            mailbox.send(ToClaimant::LookedAgain { keys, batch, reply });
+        });
+    }
+
+    fn looked_again(
+        &mut self,
+        keys: &[RequestKey],
+        batch: Option<&Batch>,
+        reply: oneshot::Sender<Looked>,
+    ) {
+        let is_fresh = batch.is_some_and(|batch| {
+            self.read(batch);
+            self.next >= batch.end
+        });
+        let looked = match self.find(keys) {
+            Some(state) => Looked::Found(state),
+            None if is_fresh && keys.iter().all(|key| self.judge(key).is_none()) => {
+                Looked::Unclaimed
+            }
+            None => Looked::Unknown,
+        };
+        let _ = reply.send(looked);
+    }
+
+    fn find(&self, keys: &[RequestKey]) -> Option<KeyState> {
+        keys.iter().find_map(|key| self.ledger.get(key)).cloned()
+    }
+
     fn judge(&self, key: &RequestKey) -> Option<Claimed> {
         match self.policy.judge(key.key, unix_ms(), self.known_since_ms) {
             KeyAge::Known => {}
@@ -297,6 +367,9 @@
         self.appending = false;
         let Err(error) = result else { return };
         log::warn!("event=append_failed stream=claims error={:?}", error.to_string());
+        if let AppendError::NotAppended(why) = &error {
+            self.give_up_claims(&sent.entries, why);
+        }
         // Applying an entry twice changes nothing, so that all can be sent again.
         let mut again = sent.entries;
         again.retain(|entry| !self.is_given_up(entry));
@@ -305,6 +378,16 @@
         self.outbox = again;
     }
 
+    /// Refuses at once what is certainly not in the log.
+    fn give_up_claims(&mut self, entries: &[Entry], why: &str) {
+        for entry in entries {
+            if let Entry::Claim(claim) = entry {
+                let owner = Owner { incarnation: claim.incarnation, attempt: claim.attempt };
+                self.give_up(owner, why);
+            }
+        }
+    }
+
     /// Says whether nobody waits for a claim any more.
     fn is_given_up(&self, entry: &Entry) -> bool {
         let Entry::Claim(claim) = entry else { return false };
--- /dev/null
+++ b/crates/entry/tests/testsuite/fleet.rs
@@ -0,0 +1,143 @@
+//! The fluent helper that starts instances and stand-ins on free ports.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+
+use baobabvane::{Embedded, Operator, Settings};
+use baobabvane_domain::{Endpoint, Spec};
+use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service};
+use baobabvanectl::{Manifest, OperatorClient};
+use monoio::time::sleep;
+use serde_json::{Value, json};
+
+pub(crate) const OPERATOR_TOKEN: &str = "test-operator-token";
+pub(crate) const CALLER_KEY: &str = "naran-key";
+
+/// Instances and what surrounds them.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    pub(crate) log: Option<LogService>,
+    pub(crate) engines: BTreeMap<String, Engine>,
+    pub(crate) services: BTreeMap<String, Service>,
+    pub(crate) instances: BTreeMap<String, Embedded>,
+}
+
+/// Runs a future on the epoll driver.
+pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime needs only a descriptor")
+        .block_on(future)
+}
+
+/// Returns the folder of the scripted scenarios.
+pub(crate) fn scenarios() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
+}
+
+impl Fleet {
+    pub(crate) fn new() -> Self {
+        Self { log: Some(LogService::spawn()), ..Self::default() }
+    }
+
+    pub(crate) fn engine(mut self, name: &str, prefill_us: u64, decode_us: u64) -> Self {
+        let engine = Engine::spawn(EngineSpeed { prefill_us, decode_us });
+        self.engines.insert(name.to_owned(), engine);
+        self
+    }
+
+    pub(crate) fn service(mut self, name: &str) -> Self {
+        self.services.insert(name.to_owned(), Service::spawn());
+        self
+    }
+
+    pub(crate) fn instance(self, name: &str, zone: &str) -> Self {
+        self.instance_with(name, zone, |_| {})
+    }
+
+    pub(crate) fn instance_with(
+        mut self,
+        name: &str,
+        zone: &str,
+        change: impl FnOnce(&mut Settings),
+    ) -> Self {
+        let mut settings = Settings {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            operator_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            log: self.log.as_ref().map(LogService::address),
+            operators: vec![Operator::new("ann", OPERATOR_TOKEN)],
+            ..Settings::default()
+        };
+        change(&mut settings);
+        let instance = Embedded::spawn(settings).expect("port 0 is free");
+        self.instances.insert(name.to_owned(), instance);
+        self
+    }
+
+    /// Applies a file of the scenarios' folder through an instance, and waits
+    /// until every instance has it in force.
+    pub(crate) fn apply(self, file: &str, through: &str) -> Self {
+        let manifest = Manifest::load(&scenarios().join(file)).expect("the file is valid");
+        block_on(async {
+            let client = self.operator(through);
+            wait_until(|| async { client.get("/v1/tiers").await.is_ok() }).await;
+            let mut last = 0;
+            for (name, spec) in manifest.resources() {
+                let answer = client.put(name, &self.with_address(&name.name, spec), None).await;
+                last = answer.expect("the resource is valid")["version"].as_u64().unwrap_or(0);
+            }
+            for name in self.instances.keys() {
+                let client = self.operator(name);
+                wait_until(|| async {
+                    let status = client.get("/v1/status").await.unwrap_or(Value::Null);
+                    status["configuration"]["version"].as_u64() >= Some(last)
+                })
+                .await;
+            }
+        });
+        self
+    }
+
+    /// Fills in the address of a stand-in that has the endpoint's name.
+    pub(crate) fn with_address(&self, name: &str, spec: &Spec) -> Spec {
+        let engine = self.engines.get(name).map(Engine::address);
+        let address = engine.or(self.services.get(name).map(Service::address));
+        match (spec, address) {
+            (Spec::Endpoint(e), Some(address)) => Spec::Endpoint(Endpoint { address, ..e.clone() }),
+            (spec, _) => spec.clone(),
+        }
+    }
+
+    pub(crate) fn operator(&self, instance: &str) -> OperatorClient {
+        OperatorClient::new(self.instances[instance].operators(), OPERATOR_TOKEN)
+            .expect("the token is ASCII")
+    }
+
+    pub(crate) fn caller(&self, instance: &str) -> Caller {
+        Caller::new(self.instances[instance].callers(), CALLER_KEY)
+    }
+}
+
+/// Polls a condition; the test's runner bounds how long.
+pub(crate) async fn wait_until<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
+    while !condition().await {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Makes the body of a chat request.
+pub(crate) fn chat(model: &str, text: &str, max_tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": model,
+        "max_tokens": max_tokens,
+        "stream": stream,
+        "messages": [{"role": "user", "content": text}],
+    })
+}
+
+/// Makes a new idempotency key.
+pub(crate) fn new_key() -> String {
+    baobabvane_domain::Uuid::now_v7().to_string()
+}
--- /dev/null
+++ b/crates/entry/tests/testsuite/hostile.rs
@@ -0,0 +1,150 @@
+//! Bytes that no honest caller sends.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+use crate::fleet::Fleet;
+
+/// Random byte strings that are thrown at the port.
+const RANDOM_ROUNDS: usize = 10_000;
+/// Long enough that only a hang reaches it.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+fn fleet() -> Fleet {
+    Fleet::new()
+        .service("bookings")
+        .engine("advice-1", 0, 0)
+        .instance_with("entry-a", "zone-a", |settings| {
+            settings.head_timeout_ms = 200;
+            settings.body_timeout_ms = 200;
+            settings.body_bytes = 2048;
+            settings.head_bytes = 2048;
+        })
+        .apply("basic.toml", "entry-a")
+}
+
+/// Sends bytes, closes the sending side where asked, and reads to the end.
+fn throw(address: SocketAddr, bytes: &[u8], close: bool) -> String {
+    let mut stream = TcpStream::connect(address).expect("the instance accepts");
+    stream.set_read_timeout(Some(READ_TIMEOUT)).expect("a timeout above zero");
+    let _ = stream.write_all(bytes);
+    if close {
+        let _ = stream.shutdown(Shutdown::Write);
+    }
+    let mut answer = Vec::new();
+    match stream.read_to_end(&mut answer) {
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+            panic!("the instance hangs on {:?}", String::from_utf8_lossy(bytes))
+        }
+        _ => String::from_utf8_lossy(&answer).into_owned(),
+    }
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
+
+fn authorised(rest: &str) -> String {
+    let key = baobabvane_domain::Uuid::now_v7();
+    format!(
+        "POST /v1/kinds/booking/orders HTTP/1.1\r\nhost: x\r\nauthorization: Bearer naran-key\r\n\
+         idempotency-key: {key}\r\n{rest}"
+    )
+}
+
+#[test]
+fn ambiguous_and_broken_requests_are_refused_and_not_sent_on() {
+    let fleet = fleet();
+    let address = fleet.instances["entry-a"].callers();
+    let cases = [
+        (
+            "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+            "400",
+        ),
+        ("transfer-encoding: chunked\r\ncontent-length: 3\r\n\r\nabc", "400"),
+        ("content-length: 3\r\ncontent-length: 4\r\n\r\nabcd", "400"),
+        ("content-length: 3, 3\r\n\r\nabc", "400"),
+        ("content-length: -1\r\n\r\n", "400"),
+        ("content-length: 0x3\r\n\r\nabc", "400"),
+        ("transfer-encoding: xchunked\r\n\r\n0\r\n\r\n", "400"),
+        ("transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n", "400"),
+        ("transfer-encoding : chunked\r\n\r\n0\r\n\r\n", "400"),
+        ("transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "400"),
+        ("transfer-encoding: chunked\r\n\r\nffffffffffffffff\r\nabc", "400"),
+        ("transfer-encoding: chunked\r\n\r\nfffff\r\nabc", "408"),
+        ("x: 1\ncontent-length: 3\n\nabc\r\n\r\n", "400"),
+        ("content-length: 999999\r\n\r\nabc", "413"),
+        ("content-length: 10\r\n\r\nabc", "408"),
+        ("x: y", "408"),
+    ];
+    for (rest, expected) in cases {
+        let answer = throw(address, authorised(rest).as_bytes(), false);
+        assert_eq!(status(&answer), expected, "{rest:?} got {answer:?}");
+        assert!(answer.contains("\"verdict\":\"not_run\""), "{answer:?}");
+    }
+    assert_eq!(fleet.services["bookings"].calls(), 0);
+}
+
+#[test]
+fn large_heads_are_refused() {
+    let fleet = fleet();
+    let address = fleet.instances["entry-a"].callers();
+    let long = format!("GET /livez HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(3000));
+    assert_eq!(status(&throw(address, long.as_bytes(), false)), "431");
+    let many = format!("GET /livez HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(200));
+    assert_eq!(status(&throw(address, many.as_bytes(), false)), "431");
+    let endless = vec![b'a'; 100_000];
+    assert_eq!(status(&throw(address, &endless, false)), "431");
+}
+
+#[test]
+fn requests_cut_anywhere_are_not_sent_on() {
+    let fleet = fleet();
+    let address = fleet.instances["entry-a"].callers();
+    let whole = authorised("content-length: 5\r\n\r\n{ } \n");
+    for cut in 0..whole.len() {
+        throw(address, &whole.as_bytes()[..cut], true);
+    }
+    assert_eq!(fleet.services["bookings"].calls(), 0);
+}
+
+#[test]
+fn random_bytes_neither_stop_nor_hang_an_instance() {
+    let fleet = fleet();
+    let address = fleet.instances["entry-a"].callers();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let template = authorised("content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n{ } \n");
+    for round in 0..RANDOM_ROUNDS {
+        let bytes: Vec<u8> = if round % 2 == 0 {
+            (0..rng.random_range(0..200)).map(|_| rng.random()).collect()
+        } else {
+            mutated(template.as_bytes(), &mut rng)
+        };
+        throw(address, &bytes, true);
+    }
+    assert_eq!(
+        status(&throw(address, b"GET /livez HTTP/1.1\r\nconnection: close\r\n\r\n", false)),
+        "200"
+    );
+    assert_eq!(fleet.services["bookings"].calls(), 0);
+}
+
+/// Changes, drops or repeats a few bytes; never so that the request becomes valid.
+fn mutated(template: &[u8], rng: &mut SmallRng) -> Vec<u8> {
+    let mut bytes = template.to_vec();
+    for _ in 0..rng.random_range(1..4) {
+        // The two headers of the end must stay, as they make the request ambiguous.
+        let at = rng.random_range(0..bytes.len() - 80);
+        match rng.random_range(0..3) {
+            0 => bytes[at] = rng.random(),
+            1 => drop(bytes.remove(at)),
+            _ => bytes.insert(at, bytes[at]),
+        }
+    }
+    bytes
+}
