claims: the writer as a state machine, checked in every interleaving

Cause: the claimant could release a claim that had been dispatched: when an append's answer was lost, the claim stood twice in the log, and the second copy was taken for one that had been given up. Change: the writer leaves the task and gets neither socket nor clock; claims that were won are held until their outcome is read; refused appends answer at once; an exhaustive test drives the same writer as the daemon.

--- a/crates/claims/src/age.rs
+++ b/crates/claims/src/age.rs
@@ -54,7 +54,7 @@
 }
 
 /// Returns the part of an issued key that names its issuer.
-pub fn issuer_tag(incarnation: Incarnation) -> u64 {
+pub(crate) fn issuer_tag(incarnation: Incarnation) -> u64 {
     (incarnation.0.as_u128() >> 88) as u64 & ISSUER_MASK
 }
 
--- a/crates/claims/src/ledger.rs
+++ b/crates/claims/src/ledger.rs
@@ -8,7 +8,7 @@
 use crate::age::issued_at_ms;
 
 /// Who wrote a claim; no two claims have the same owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Owner {
     /// The process.
     pub incarnation: Incarnation,
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -4,10 +4,13 @@
 //! the log up to it, and dispatches only when its claim was the first of the
 //! key. No claim is handed over, so that neither a pause nor a lapsed lease can
 //! double a dispatch. [`Ledger`] is that function; [`KeyAge`] says for which
-//! keys the log still knows enough. See [at most once](../../../docs/claims.md).
+//! keys the log still knows enough; [`Writer`] writes claims and outcomes in
+//! batches and settles them. See [at most once](../../../docs/claims.md).
 
 mod age;
 mod ledger;
+mod writer;
 
-pub use age::{KeyAge, KeyPolicy, issue_key, issued_at_ms, issuer_tag};
+pub use age::{KeyAge, KeyPolicy, issue_key, issued_at_ms};
 pub use ledger::{KeyState, Ledger, Owner};
+pub use writer::{AppendEnd, Claimed, Output, Pace, ReadBatch, ReadRecord, Writer};
--- a/crates/entry/src/caller/keyed.rs
+++ b/crates/entry/src/caller/keyed.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use baobabvane_claims::{KeyState, Owner};
+use baobabvane_claims::{Claimed, KeyState, Owner};
 use baobabvane_domain::{Answer, LogDown, Problem, RequestKey, Uuid, Verdict};
 use baobabvane_wire::{Request as HttpRequest, Response};
 use bytes::Bytes;
@@ -20,7 +20,7 @@
         run::{self, Job, Trace},
     },
     request::{Admitted, Request},
-    tasks::claimant::{Claimed, Looked, MAX_KEPT_ANSWER_BYTES, ToClaimant},
+    tasks::claimant::{Ask, Ended, Looked, MAX_KEPT_ANSWER_BYTES, ToClaimant},
 };
 
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -144,7 +144,7 @@
     log_down: LogDown,
 ) -> Result<Claim, Problem> {
     loop {
-        let claim = |reply| ToClaimant::Claim { key: key.clone(), body_hash, log_down, reply };
+        let claim = |reply| ToClaimant::Claim(Ask { key: key.clone(), body_hash, log_down, reply });
         let state = match cx.claimant.ask(claim).await {
             Some(Claimed::Won { owner, fence }) => return Ok(Claim::Won { owner, fence }),
             Some(Claimed::Lost(state)) => state,
@@ -230,7 +230,7 @@
         };
         trace.finish(&self.cx, status, verdict);
         let (key, owner) = (self.key, self.owner);
-        self.cx.claimant.send(ToClaimant::End { key, owner, verdict, answer: kept });
+        self.cx.claimant.send(ToClaimant::End(Ended { key, owner, verdict, answer: kept }));
         result.map(|mut res| {
             *res.headers_mut() = run::end_to_end(res.headers());
             add_verdict(res.headers_mut(), verdict);
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod claimant;
 pub(crate) mod configurator;
+pub(crate) mod record;
 pub(crate) mod scheduler;
--- a/crates/entry/src/tasks/configurator.rs
+++ b/crates/entry/src/tasks/configurator.rs
@@ -12,13 +12,14 @@
     clock::unix_ms,
     message::Mailbox,
     settings::Settings,
-    tasks::scheduler::ToScheduler,
+    tasks::{
+        record::{decode, encode, follow},
+        scheduler::ToScheduler,
+    },
     view::{Published, View, ViewMaker},
 };
 
-/// How long one read of the log waits for news.
-const READ_WAIT: Duration = Duration::from_secs(5);
-/// Pause before the log is read again after a failure.
+/// Pause before an append that the log refused is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How often those who wait are looked at.
 const TICK: Duration = Duration::from_millis(20);
@@ -48,7 +49,7 @@
     Audit(oneshot::Sender<Vec<AuditEntry>>),
     Status(oneshot::Sender<ConfigStatus>),
     Read(Batch),
-    ReadFailed(String),
+    ReadFailed,
     Appended(Uuid, Result<u64, AppendError>),
 }
 
@@ -114,30 +115,14 @@
         log_reachable: false,
         ready,
     };
-    monoio::spawn(follow(log, mailbox.clone()));
+    let to = mailbox.clone();
+    monoio::spawn(follow(log, Stream::Config, move |read| {
+        to.send(read.map_or(ToConfigurator::ReadFailed, ToConfigurator::Read));
+    }));
     monoio::spawn(configurator.run(rx));
     mailbox
 }
 
-/// Reads the stream from its start on and hands on what comes.
-async fn follow(log: LogClient, to: Mailbox<ToConfigurator>) {
-    let mut next = 1;
-    let mut wait = Duration::ZERO;
-    loop {
-        match log.read(Stream::Config, next, wait).await {
-            Ok(batch) => {
-                next = batch.next.max(batch.oldest);
-                wait = if next < batch.end { Duration::ZERO } else { READ_WAIT };
-                to.send(ToConfigurator::Read(batch));
-            }
-            Err(e) => {
-                to.send(ToConfigurator::ReadFailed(e.to_string()));
-                sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
-}
-
 impl Configurator {
     async fn run(mut self, mut rx: unbounded::Rx<ToConfigurator>) {
         loop {
@@ -160,9 +145,9 @@
                 let _ = reply.send(self.status());
             }
             ToConfigurator::Read(batch) => self.read(&batch),
-            ToConfigurator::ReadFailed(error) => {
+            ToConfigurator::ReadFailed => {
                 if self.log_reachable {
-                    log::warn!("event=log_unreachable error={error:?}");
+                    log::warn!("event=log_unreachable");
                 }
                 self.log_reachable = false;
             }
@@ -320,25 +305,6 @@
     }
 }
 
-/// Writes entries as one record of the log.
-pub(crate) fn encode(entries: &[Entry]) -> String {
-    serde_json::to_string(entries).expect("entries have string keys only")
-}
-
-/// Reads a record; entries that cannot be read are skipped, as a newer release
-/// may have written them.
-pub(crate) fn decode(data: &str) -> Vec<Entry> {
-    if let Ok(entries) = serde_json::from_str(data) {
-        return entries;
-    }
-    let values: Vec<serde_json::Value> = serde_json::from_str(data).unwrap_or_default();
-    let entries: Vec<Entry> =
-        values.iter().filter_map(|v| serde_json::from_value(v.clone()).ok()).collect();
-    let skipped = values.len() - entries.len();
-    log::error!("event=entries_unreadable skipped={skipped} read={}", entries.len());
-    entries
-}
-
 /// Makes a change that an operator proposes now.
 pub(crate) fn new_change(
     who: String,
--- /dev/null
+++ b/crates/entry/src/tasks/record.rs
@@ -0,0 +1,50 @@
+//! Reads a stream of the log to its end and on, and codes its records.
+
+use std::time::Duration;
+
+use baobabvane_domain::Entry;
+use baobabvane_platform::{Batch, LogClient, Stream};
+use monoio::time::sleep;
+
+/// How long one read of the log waits for news.
+const READ_WAIT: Duration = Duration::from_secs(5);
+/// Pause before the log is read again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Reads a stream from its start on and hands on what comes; `None` is a failed read.
+pub(crate) async fn follow(log: LogClient, stream: Stream, take: impl Fn(Option<Batch>)) {
+    let mut next = 1;
+    let mut wait = Duration::ZERO;
+    loop {
+        match log.read(stream, next, wait).await {
+            Ok(batch) => {
+                next = batch.next.max(batch.oldest);
+                wait = if next < batch.end { Duration::ZERO } else { READ_WAIT };
+                take(Some(batch));
+            }
+            Err(_) => {
+                take(None);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes entries as one record of the log.
+pub(crate) fn encode(entries: &[Entry]) -> String {
+    serde_json::to_string(entries).expect("entries have string keys only")
+}
+
+/// Reads a record; entries that cannot be read are skipped, as a newer release
+/// may have written them.
+pub(crate) fn decode(data: &str) -> Vec<Entry> {
+    if let Ok(entries) = serde_json::from_str(data) {
+        return entries;
+    }
+    let values: Vec<serde_json::Value> = serde_json::from_str(data).unwrap_or_default();
+    let entries: Vec<Entry> =
+        values.iter().filter_map(|v| serde_json::from_value(v.clone()).ok()).collect();
+    let skipped = values.len() - entries.len();
+    log::error!("event=entries_unreadable skipped={skipped} read={}", entries.len());
+    entries
+}
--- a/crates/entry/tests/testsuite/serving.rs
+++ b/crates/entry/tests/testsuite/serving.rs
@@ -109,7 +109,7 @@
             let caller = caller.clone();
             async move {
                 sleep(Duration::from_millis(n as u64 % 7)).await;
-                let body = chat("quote", &format!("awning {n:03}"), 20, n % 2 == 0);
+                let body = chat("quote", &format!("awning {n:03}"), 20, n.is_multiple_of(2));
                 let answer = caller.post("/v1/chat/completions", &body).await.expect("an answer");
                 (n, answer)
             }
--- a/crates/entry/tests/testsuite/session.rs
+++ b/crates/entry/tests/testsuite/session.rs
@@ -3,7 +3,7 @@
 //! The scripts in `scenarios/` hold their golden output; rewrite it with
 //! `UPDATE_GOLDENFILES=1 cargo test -p baobabvane --test testsuite`.
 
-use std::{collections::BTreeMap, error::Error, time::Duration};
+use std::{collections::BTreeMap, error::Error};
 
 use baobabvane_standin::{EngineFaults, LogFaults, Received, ServiceFaults};
 use goldenscript::{ArgumentConsumer, Command, Context, Runner};
