--- a/crates/decide/examples/decisions/sim.rs
+++ b/crates/decide/examples/decisions/sim.rs
@@ -6,7 +6,7 @@
 };
 
 use baobabvane_decide::{
-    Action, Core, Descriptor, Ending, EndpointKey, EndpointSpec, Event, Millis, Policy,
+    Action, Core, Descriptor, Ending, EndpointKey, EndpointSpec, Event, FailedAt, Millis, Policy,
     PrefixBlocks, Refusal, Report, Ticket,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -111,6 +111,7 @@
     tickets: u64,
     rng: SmallRng,
     outcome: Outcome,
+    failed_at: HashMap<usize, FailedAt>,
     /// Less urgent ranks refused at this instant, for the count of inversions.
     shed_now: HashSet<(usize, u8)>,
     neighbour: bool,
@@ -152,6 +153,7 @@
             tickets: 0,
             rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
             outcome: Outcome::default(),
+            failed_at: HashMap::new(),
             shed_now: HashSet::new(),
             neighbour: plan.name == "neighbour",
         };
@@ -232,7 +234,7 @@
             prefix: arrival.prefix.clone(),
             deadline: arrival.at + arrival.kind.deadline_ms,
             streamed: true,
-            retry: attempts > 0,
+            failed_at: self.failed_at.get(&n).cloned().unwrap_or_default(),
         };
         if self.neighbour {
             self.tell(arrival.pool, Event::NeighbourRoom(NEIGHBOUR_ROOM));
@@ -306,6 +308,7 @@
     fn fail(&mut self, n: usize) {
         let Some(place) = self.places.get(&n).copied() else { return };
         let pool = self.arrival(n).pool;
+        self.failed_at.entry(n).or_default().extend(place.engine.map(|e| self.keys[e]));
         self.tell(pool, Event::End(place.ticket, Ending::Failed));
         if place.attempts + 1 < MAX_ATTEMPTS {
             self.requests.remove(&place.ticket);
--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -51,7 +51,7 @@
         }
         let mut best: Option<(f64, Placed)> = None;
         for (key, endpoint) in self.endpoints {
-            if endpoint.free(self.now) == 0 {
+            if endpoint.free(self.now) == 0 || self.is_avoided(req, key) {
                 continue;
             }
             let blocks = match holders.iter().find(|h| h.endpoint == key) {
@@ -82,6 +82,12 @@
         best.map(|(_, placed)| placed)
     }
 
+    /// Says whether a repeat has to go elsewhere, where there is an elsewhere.
+    fn is_avoided(&self, req: &Descriptor, key: EndpointKey) -> bool {
+        req.failed_at.contains(&key)
+            && self.endpoints.iter().any(|(k, e)| !e.leaving && !req.failed_at.contains(&k))
+    }
+
     /// Says whether a request should wait until an endpoint has read the start of
     /// its prompt for another one: sent earlier, it would be read twice.
     fn is_worth_waiting(&self, req: &Descriptor, holder: &Holder, answer_tokens: f64) -> bool {
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -215,7 +215,7 @@
         if !self.policy.queueing {
             return self.place_at_once(ticket, waiting);
         }
-        if waiting.descriptor.retry && !self.budget.spend() {
+        if !waiting.descriptor.failed_at.is_empty() && !self.budget.spend() {
             return self.refuse(ticket, rank, self.now, Refusal::RetryBudget);
         }
         if self.policy.drop_late && waiting.latest_start < self.now {
@@ -370,7 +370,7 @@
         self.dispatched.add(now, cost);
         self.tier_rate(req.rank).add(now, cost);
         self.tier_demand(req.rank).change(now, 1);
-        if !req.retry {
+        if req.failed_at.is_empty() {
             self.budget.earn();
         }
         let flight = Flight {
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -51,10 +51,13 @@
     pub deadline: Millis,
     /// Whether the driver will tell when the answer begins.
     pub streamed: bool,
-    /// Whether this is a repeat after a failed dispatch; repeats have a budget.
-    pub retry: bool,
+    /// Where earlier dispatches failed; a repeat goes elsewhere and has a budget.
+    pub failed_at: FailedAt,
 }
 
+/// Endpoints at which a request has failed.
+pub type FailedAt = SmallVec<[EndpointKey; 2]>;
+
 /// What an endpoint is.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointSpec {
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -277,7 +277,7 @@
             prefix: smallvec![],
             deadline: 1000.0,
             streamed: true,
-            retry: false,
+            failed_at: smallvec![],
         };
         let waiting = Waiting { descriptor, since: 0.0, cost, latest_start: 500.0 };
         queue.push(Ticket(ticket), waiting);
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -138,7 +138,7 @@
             prefix: (0..if long { 8 } else { 0 }).map(|b| u64::from(org) * 100 + b).collect(),
             deadline: self.now + patience,
             streamed: true,
-            retry: false,
+            failed_at: Default::default(),
         };
         let shed_before = self.shed_now;
         self.tell(Event::Offer(ticket, req));
--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -65,7 +65,7 @@
         prefix: prompt.prefix.clone(),
         deadline: 0.0,
         streamed: prompt.stream,
-        retry: false,
+        failed_at: Default::default(),
     };
     let mut headers = HeaderMap::new();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/entry/src/caller/plain.rs
+++ b/crates/entry/src/caller/plain.rs
@@ -39,7 +39,7 @@
         prefix: Default::default(),
         deadline: 0.0,
         streamed: true,
-        retry: false,
+        failed_at: Default::default(),
     };
     let outgoing = Outgoing {
         method: req.method().clone(),
--- a/crates/entry/src/caller/run.rs
+++ b/crates/entry/src/caller/run.rs
@@ -111,7 +111,7 @@
 ) -> Result<Request<Granted>, Problem> {
     let Some(patience) = life.patience() else { return Err(too_late(&life)) };
     let mut descriptor = job.descriptor.clone();
-    descriptor.retry = life.is_retry();
+    descriptor.failed_at = life.failed_at().clone();
     let pool = job.kind.spec.pool.clone();
     let answer = scheduler::ask(&cx.scheduler, cx.next_ticket(), pool, descriptor, patience).await;
     match answer {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use baobabvane_decide::Ending;
+use baobabvane_decide::{Ending, FailedAt};
 use baobabvane_domain::{Problem, Uuid, Verdict};
 use monoio::time::Instant;
 
@@ -39,7 +39,7 @@
 pub(crate) struct Admitted {
     deadline: Instant,
     idempotent: bool,
-    attempts: u32,
+    failed_at: FailedAt,
     /// The worst that earlier attempts left behind.
     verdict: Verdict,
 }
@@ -65,7 +65,7 @@
 }
 
 /// Dispatches of one request, however much its deadline and budget allow.
-const MAX_ATTEMPTS: u32 = 4;
+const MAX_ATTEMPTS: usize = 4;
 
 impl<S> Request<S> {
     pub(crate) fn id(&self) -> RequestId {
@@ -85,7 +85,12 @@
     /// Admits the request; the caller waits for `patience` from its arrival.
     pub(crate) fn admit(self, patience: Duration, idempotent: bool) -> Request<Admitted> {
         let deadline = self.received_at + patience;
-        self.to(|Received| Admitted { deadline, idempotent, attempts: 0, verdict: Verdict::NotRun })
+        self.to(|Received| Admitted {
+            deadline,
+            idempotent,
+            failed_at: FailedAt::new(),
+            verdict: Verdict::NotRun,
+        })
     }
 }
 
@@ -95,8 +100,9 @@
         self.stage.deadline.checked_duration_since(Instant::now()).filter(|d| !d.is_zero())
     }
 
-    pub(crate) fn is_retry(&self) -> bool {
-        self.stage.attempts > 0
+    /// Returns where earlier dispatches failed.
+    pub(crate) fn failed_at(&self) -> &FailedAt {
+        &self.stage.failed_at
     }
 
     /// Returns the verdict of a request that is given up now.
@@ -153,16 +159,17 @@
     /// Returns to waiting when the failure allows another dispatch.
     pub(crate) fn failed(self, failure: &Failure) -> Result<Request<Admitted>, Problem> {
         let endpoint = self.endpoint().to_owned();
+        let key = self.stage.grant.choice.endpoint;
         let Self { id, received_at, stage: Dispatched { mut admitted, grant, exchange } } = self;
         drop(exchange);
         grant.end(match failure.cause {
             Cause::Endpoint => Ending::Failed,
             Cause::Silence => Ending::Lost,
         });
-        admitted.attempts += 1;
+        admitted.failed_at.push(key);
         admitted.verdict = admitted.verdict.max(failure.verdict);
         let allowed = failure.verdict.allows_dispatch(admitted.idempotent);
-        if allowed && admitted.attempts < MAX_ATTEMPTS {
+        if allowed && admitted.failed_at.len() < MAX_ATTEMPTS {
             return Ok(Request { id, received_at, stage: admitted });
         }
         let detail = format!("endpoint {endpoint:?} failed: {}", failure.detail);
