measure: an instance against the stand-in alone

Cause: no figure told what an instance adds. Change: the measure example; an idle connection no longer holds room for a request's state; the stand-in log wakes its readers.

--- /dev/null
+++ b/crates/entry/examples/measure.rs
@@ -0,0 +1,323 @@
+//! Measures what an instance adds, on real sockets, against the stand-in alone.
+//!
+//! `cargo build --release && cargo run --release --example measure`
+//!
+//! The instance is the release binary, a process of its own.
+
+use std::{
+    env, fs,
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpStream},
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use baobabvane_domain::{Endpoint, Kind, LogDown, Organisation, Protocol, ResourceName, Spec, Tier};
+use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service};
+use baobabvanectl::{OperatorClient, Table};
+use hdrhistogram::Histogram;
+use monoio::time::{Instant, sleep, sleep_until};
+use serde_json::json;
+
+const TOKEN: &str = "measure-token";
+const KEY: &str = "measure-key";
+const RUN: Duration = Duration::from_secs(4);
+/// Threads that make requests.
+const LOAD_THREADS: usize = 3;
+const IDLE_CONNECTIONS: usize = 10_000;
+/// Peak requests a second of the size to design for.
+const PEAK_RATE: u64 = 850;
+
+fn runtime() -> monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>> {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime needs only a descriptor")
+}
+
+/// The release binary with its addresses.
+struct Instance {
+    child: Child,
+    callers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Instance {
+    fn spawn(log: SocketAddr) -> Self {
+        let examples = env::current_exe().expect("the example has a path");
+        let binary = examples.ancestors().nth(2).expect("a target folder").join("baobabvane");
+        let mut child = Command::new(binary)
+            .args(["serve", "--listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0"])
+            .args(["--log", &log.to_string(), "--operator-tokens", &format!("ann={TOKEN}")])
+            .env("RUST_LOG", "warn")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the release binary was built");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("the binary prints its addresses");
+        let address = |name: &str| {
+            let word = line.split_whitespace().find_map(|w| w.strip_prefix(name));
+            word.and_then(|a| a.parse().ok()).expect("an address")
+        };
+        Self { callers: address("callers="), operators: address("operators="), child }
+    }
+
+    /// Returns the resident memory in KiB.
+    fn memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("a line on memory");
+        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
+    }
+
+    /// Returns the processor time used so far.
+    fn cpu(&self) -> Duration {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.expect("the process runs");
+        let ticks = stat.rsplit(") ").next().unwrap_or_default();
+        let ticks: u64 =
+            ticks.split_whitespace().skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
+        // The kernel counts hundredths of a second.
+        Duration::from_millis(ticks * 10)
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn apply(instance: &Instance, engine: SocketAddr, service: SocketAddr) {
+    let client = OperatorClient::new(instance.operators, TOKEN).expect("the token is ASCII");
+    while client.get("/v1/tiers").await.is_err() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let kind = |pool: &str, protocol, idempotent| {
+        Spec::Kind(Kind {
+            tier: "urgent".to_owned(),
+            pool: pool.to_owned(),
+            protocol,
+            idempotent,
+            deadline_ms: 60_000,
+            answer_tokens: 64,
+            log_down: LogDown::Refuse,
+        })
+    };
+    let endpoint = |address, pool: &str, protocol| {
+        Spec::Endpoint(Endpoint {
+            address,
+            zone: "zone-1".to_owned(),
+            pool: pool.to_owned(),
+            protocol,
+            slots: 4096,
+            cache_tokens: 0,
+            leaving: false,
+        })
+    };
+    let org = Organisation { key_hashes: vec![baobabvane_domain::hash_api_key(KEY)], weight: 1 };
+    let resources = [
+        ("urgent", Spec::Tier(Tier { rank: 0, floor_percent: 0 })),
+        ("stock", kind("stock", Protocol::Plain, true)),
+        ("booking", kind("stock", Protocol::Plain, false)),
+        ("quote", kind("advice", Protocol::Model, true)),
+        ("measure", Spec::Organisation(org)),
+        ("stock", endpoint(service, "stock", Protocol::Plain)),
+        ("advice", endpoint(engine, "advice", Protocol::Model)),
+    ];
+    for (name, spec) in resources {
+        let name = ResourceName { type_: spec.resource_type(), name: name.to_owned() };
+        client.put(&name, &spec, None).await.expect("the resource is valid");
+    }
+}
+
+/// What a load run brought.
+struct Load {
+    latency: Histogram<u64>,
+    per_second: f64,
+}
+
+impl Load {
+    fn quantile_us(&self, q: f64) -> u64 {
+        self.latency.value_at_quantile(q)
+    }
+}
+
+/// Sends requests on connections; at a rate when one is given, else one after the other.
+fn load(address: SocketAddr, path: &'static str, connections: usize, rate: Option<u64>) -> Load {
+    let all = Arc::new(Mutex::new(Histogram::<u64>::new(3).expect("3 digits are valid")));
+    let threads: Vec<_> = (0..LOAD_THREADS.min(connections))
+        .map(|t| {
+            let all = Arc::clone(&all);
+            let threads = LOAD_THREADS.min(connections);
+            let own = connections / threads + usize::from(t < connections % threads);
+            thread::spawn(move || {
+                runtime().block_on(async move {
+                    let start = Instant::now();
+                    let pause = rate.map(|r| Duration::from_secs(connections as u64) / r as u32);
+                    let tasks: Vec<_> = (0..own)
+                        .map(|n| {
+                            monoio::spawn(connection(address, path, start, pause, n as u32))
+                        })
+                        .collect();
+                    for task in tasks {
+                        let own = task.await;
+                        all.lock().expect("no holder panics").add(own).expect("same range");
+                    }
+                });
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("a load thread does not panic");
+    }
+    let latency = all.lock().expect("no holder panics").clone();
+    let per_second = latency.len() as f64 / RUN.as_secs_f64();
+    Load { latency, per_second }
+}
+
+async fn connection(
+    address: SocketAddr,
+    path: &'static str,
+    start: Instant,
+    pause: Option<Duration>,
+    number: u32,
+) -> Histogram<u64> {
+    let caller = Caller::new(address, KEY);
+    let mut latency = Histogram::new(3).expect("3 digits are valid");
+    let mut conn = caller.connect().await.expect("the address accepts");
+    // The connections' turns are spread over the pause.
+    let mut turn = start + pause.unwrap_or_default() * (number % 97) / 97;
+    while start.elapsed() < RUN {
+        if let Some(pause) = pause {
+            sleep_until(turn).await;
+            turn += pause;
+        }
+        let sent = Instant::now();
+        let answer = caller.send_on(&mut conn, http::Method::GET, path, "").await;
+        assert_eq!(answer.expect("an answer").status, 200);
+        latency.record(sent.elapsed().as_micros() as u64).expect("within the range");
+    }
+    latency
+}
+
+fn latencies(instance: &Instance, service: SocketAddr) {
+    let mut table = Table::new(&[
+        "CONNECTIONS", "RATE", "DIRECT P50 US", "P99", "THROUGH P50 US", "P99", "ADDED P50", "P99",
+        "DIRECT R/S", "THROUGH R/S", "RATIO",
+    ]);
+    for (connections, rate) in [(64, Some(PEAK_RATE)), (1, None), (64, None), (512, None)] {
+        let direct = load(service, "/items", connections, rate);
+        let through = load(instance.callers, "/v1/kinds/stock/items", connections, rate);
+        let q = |load: &Load, q| load.quantile_us(q);
+        table.row([
+            connections.to_string(),
+            rate.map_or("most".to_owned(), |r| r.to_string()),
+            q(&direct, 0.5).to_string(),
+            q(&direct, 0.99).to_string(),
+            q(&through, 0.5).to_string(),
+            q(&through, 0.99).to_string(),
+            (q(&through, 0.5).saturating_sub(q(&direct, 0.5))).to_string(),
+            (q(&through, 0.99).saturating_sub(q(&direct, 0.99))).to_string(),
+            format!("{:.0}", direct.per_second),
+            format!("{:.0}", through.per_second),
+            format!("{:.2}", through.per_second / direct.per_second),
+        ]);
+    }
+    println!("{table}");
+}
+
+/// Streams long answers and counts tokens a second of the instance's processor time.
+async fn tokens(instance: &Instance) {
+    const STREAMS: usize = 64;
+    const TOKENS: usize = 4_000;
+    let caller = Caller::new(instance.callers, KEY);
+    let body = json!({"model": "quote", "stream": true, "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": "seam"}]});
+    let cpu = instance.cpu();
+    let start = Instant::now();
+    let streams = (0..STREAMS).map(|_| caller.post("/v1/chat/completions", &body));
+    for answer in futures::future::join_all(streams).await {
+        let text = answer.expect("a whole answer").body;
+        assert!(text.ends_with(b"data: [DONE]\n\n"));
+    }
+    let all = (STREAMS * TOKENS) as f64;
+    let used = (instance.cpu() - cpu).as_secs_f64();
+    println!(
+        "streamed {all} tokens in {:.2} s, {:.2} s of the instance's core: {:.0} tokens a second on one core",
+        start.elapsed().as_secs_f64(),
+        used,
+        all / used
+    );
+}
+
+/// Books one after the other, and many at once; the log's own append is the yardstick.
+async fn claims(instance: &Instance, log: &LogService) {
+    let log_caller = Caller::new(log.address(), "");
+    let mut append = Histogram::<u64>::new(3).expect("3 digits are valid");
+    for _ in 0..300 {
+        let sent = Instant::now();
+        log_caller.send(http::Method::POST, "/v1/streams/yardstick/records", "x").await.expect("up");
+        append.record(sent.elapsed().as_micros() as u64).expect("within the range");
+    }
+    println!(
+        "append of the log alone: p50 {} us, p99 {} us",
+        append.value_at_quantile(0.5),
+        append.value_at_quantile(0.99)
+    );
+    for rate in [10_u64, 100, 850] {
+        let appends = log.appends();
+        let count = rate * 4;
+        let start = Instant::now();
+        let book = |n: u64| async move {
+            sleep_until(start + Duration::from_micros(1_000_000 * n / rate)).await;
+            let key = baobabvane_domain::Uuid::now_v7().to_string();
+            let caller = Caller::new(instance.callers, KEY).with("idempotency-key", &key);
+            let answer = caller.send(http::Method::POST, "/v1/kinds/booking/orders", "{}").await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status, 200);
+            answer.whole.as_micros() as u64
+        };
+        let mut latency = Histogram::<u64>::new(3).expect("3 digits are valid");
+        for micros in futures::future::join_all((0..count).map(book)).await {
+            latency.record(micros).expect("within the range");
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        println!(
+            "{rate} bookings a second: p50 {} us, p99 {} us, {:.0} appends a second",
+            latency.value_at_quantile(0.5),
+            latency.value_at_quantile(0.99),
+            (log.appends() - appends) as f64 / seconds
+        );
+    }
+}
+
+fn idle_connections(instance: &Instance) {
+    let at_rest = instance.memory_kib();
+    let idle: Vec<TcpStream> = (0..IDLE_CONNECTIONS)
+        .map(|_| TcpStream::connect(instance.callers).expect("the instance accepts"))
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    println!(
+        "memory: {at_rest} KiB before, {} KiB with {} idle connections",
+        instance.memory_kib(),
+        idle.len()
+    );
+}
+
+fn main() {
+    let log = LogService::spawn();
+    let engine = Engine::spawn(EngineSpeed { prefill_us: 0, decode_us: 0 });
+    let service = Service::spawn();
+    let instance = Instance::spawn(log.address());
+    runtime().block_on(apply(&instance, engine.address(), service.address()));
+    println!("memory at rest: {} KiB", instance.memory_kib());
+    latencies(&instance, service.address());
+    runtime().block_on(tokens(&instance));
+    runtime().block_on(claims(&instance, &log));
+    idle_connections(&instance);
+}
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -60,7 +60,8 @@
         if cx.draining.get() {
             conn.close_after_response();
         }
-        let written = match answer(&cx, &mut conn, req).await {
+        // Boxed, so that an idle connection does not hold room for a request's state.
+        let written = match Box::pin(answer(&cx, &mut conn, req)).await {
             Reply::Whole(res) => conn.write_response(res).await.is_ok(),
             Reply::Streamed => true,
             Reply::Broken => false,
--- a/crates/entry/src/tasks/claimant.rs
+++ b/crates/entry/src/tasks/claimant.rs
@@ -21,7 +21,7 @@
 };
 
 /// How often the writer is told that time has passed.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(1);
 const IDLE_TICK: Duration = Duration::from_secs(1);
 /// Pause after an append that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -1,6 +1,7 @@
 //! The platform's log service, with its limits and outages.
 
 use std::{
+    cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -10,13 +11,14 @@
 use baobabvane_platform::{Appended, Batch, LogRecord};
 use baobabvane_wire::{Request, ServerConn};
 use http::Method;
-use monoio::time::{Instant, sleep};
+use local_sync::oneshot;
+use monoio::time::{Instant, sleep, timeout};
 
 use crate::server::{Handler, Running, json as json_response, spawn};
 
 /// The most records that one read returns.
 const MAX_BATCH: usize = 1024;
-const POLL: Duration = Duration::from_millis(2);
+const POLL: Duration = Duration::from_millis(20);
 
 /// What the log does wrong.
 #[derive(Clone, Copy, Debug, Default)]
@@ -58,7 +60,10 @@
     pub fn spawn_at(address: SocketAddr) -> Self {
         let shared = Arc::new(Mutex::new(Shared::default()));
         let handler = Arc::clone(&shared);
-        let running = spawn(address, move || LogHandler { shared: handler });
+        let running = spawn(address, move || LogHandler {
+            shared: handler,
+            waiting: RefCell::new(Vec::new()),
+        });
         Self { running, shared }
     }
 
@@ -127,6 +132,8 @@
 
 struct LogHandler {
     shared: Arc<Mutex<Shared>>,
+    /// Reads that wait for news.
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 impl Handler for LogHandler {
@@ -168,6 +175,9 @@
         }
         let data = String::from_utf8_lossy(req.body()).into_owned();
         let offset = self.shared.lock().expect("no holder panics").append(stream, data);
+        for waiting in self.waiting.borrow_mut().drain(..) {
+            let _ = waiting.send(());
+        }
         if faults.lose_answers {
             return false;
         }
@@ -187,7 +197,10 @@
             && Instant::now() < until
             && !self.faults().down
         {
-            sleep(POLL).await;
+            let (tx, rx) = oneshot::channel();
+            self.waiting.borrow_mut().push(tx);
+            // An outage is set from another thread and wakes nobody.
+            let _ = timeout(POLL, rx).await;
         }
         if self.faults().down {
             return false;
