--- a/crates/entry/examples/measure.rs
+++ b/crates/entry/examples/measure.rs
@@ -14,7 +14,9 @@
     time::Duration,
 };
 
-use baobabvane_domain::{Endpoint, Kind, LogDown, Organisation, Protocol, ResourceName, Spec, Tier};
+use baobabvane_domain::{
+    Endpoint, Kind, LogDown, Organisation, Protocol, ResourceName, Spec, Tier,
+};
 use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service};
 use baobabvanectl::{OperatorClient, Table};
 use hdrhistogram::Histogram;
@@ -161,7 +163,10 @@
                     let pause = rate.map(|r| Duration::from_secs(connections as u64) / r as u32);
                     let tasks: Vec<_> = (0..own)
                         .map(|n| {
-                            monoio::spawn(connection(address, path, start, pause, n as u32))
+                            // The connections' turns are spread over the pause.
+                            let number = (t + n * threads) as u32;
+                            let first = pause.map(|p| p * number / connections as u32);
+                            monoio::spawn(connection(address, path, start, pause, first))
                         })
                         .collect();
                     for task in tasks {
@@ -185,13 +190,12 @@
     path: &'static str,
     start: Instant,
     pause: Option<Duration>,
-    number: u32,
+    first: Option<Duration>,
 ) -> Histogram<u64> {
     let caller = Caller::new(address, KEY);
     let mut latency = Histogram::new(3).expect("3 digits are valid");
     let mut conn = caller.connect().await.expect("the address accepts");
-    // The connections' turns are spread over the pause.
-    let mut turn = start + pause.unwrap_or_default() * (number % 97) / 97;
+    let mut turn = start + first.unwrap_or_default();
     while start.elapsed() < RUN {
         if let Some(pause) = pause {
             sleep_until(turn).await;
@@ -207,8 +211,17 @@
 
 fn latencies(instance: &Instance, service: SocketAddr) {
     let mut table = Table::new(&[
-        "CONNECTIONS", "RATE", "DIRECT P50 US", "P99", "THROUGH P50 US", "P99", "ADDED P50", "P99",
-        "DIRECT R/S", "THROUGH R/S", "RATIO",
+        "CONNECTIONS",
+        "RATE",
+        "DIRECT P50 US",
+        "P99",
+        "THROUGH P50 US",
+        "P99",
+        "ADDED P50",
+        "P99",
+        "DIRECT R/S",
+        "THROUGH R/S",
+        "RATIO",
     ]);
     for (connections, rate) in [(64, Some(PEAK_RATE)), (1, None), (64, None), (512, None)] {
         let direct = load(service, "/items", connections, rate);
@@ -261,7 +274,10 @@
     let mut append = Histogram::<u64>::new(3).expect("3 digits are valid");
     for _ in 0..300 {
         let sent = Instant::now();
-        log_caller.send(http::Method::POST, "/v1/streams/yardstick/records", "x").await.expect("up");
+        log_caller
+            .send(http::Method::POST, "/v1/streams/yardstick/records", "x")
+            .await
+            .expect("up");
         append.record(sent.elapsed().as_micros() as u64).expect("within the range");
     }
     println!(
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -15,7 +15,7 @@
 use crate::message::Mailbox;
 
 /// Idle connections that are kept for one endpoint.
-const MAX_IDLE: usize = 64;
+const MAX_IDLE: usize = 1024;
 /// Pieces of an answer that wait for a slow caller before the endpoint is stopped.
 const MAX_PIECES: usize = 16;
 
