--- a/crates/ctl/src/cmd/status.rs
+++ b/crates/ctl/src/cmd/status.rs
@@ -36,13 +36,24 @@
         instances.row(["/name", "/zone", "/in_force"].map(|p| cell(item, p)));
     }
     println!("{instances}");
-    let mut pools =
-        Table::new(&["POOL", "ZONE", "ENDPOINTS", "WAITING", "IN FLIGHT", "ROOM", "OPEN"]);
+    let live = items(&status["members"]["live"]).iter().map(|m| cell(m, "/name"));
+    println!("live: {}\n", live.collect::<Vec<_>>().join(", "));
+    let mut pools = Table::new(&[
+        "POOL",
+        "ZONE",
+        "SCHEDULER",
+        "ENDPOINTS",
+        "WAITING",
+        "IN FLIGHT",
+        "ROOM",
+        "OPEN",
+    ]);
     for item in items(&status["pools"]) {
         pools.row(
             [
                 "/pool",
                 "/zone",
+                "/scheduler",
                 "/endpoints",
                 "/counts/waiting",
                 "/counts/in_flight",
--- a/crates/decide/examples/decisions/scenario.rs
+++ b/crates/decide/examples/decisions/scenario.rs
@@ -78,7 +78,7 @@
     pub(crate) report_lag_ms: Millis,
     pub(crate) tiers: Vec<TierPolicy>,
     /// Organisations below this number are large.
-    pub(crate) large_orgs: u32,
+    pub(crate) large_orgs: u64,
     /// The largest organisation that belongs to the day and not to the flood.
     pub(crate) end_ms: Millis,
 }
@@ -185,7 +185,7 @@
                 return;
             }
             let history = ((self.unit().powf(2.0)) * histories as f64) as u64;
-            let org = OrgId((history % 5) as u32);
+            let org = OrgId(history % 5);
             self.arrival(at, 0, &REVIEW, org, false);
             let last = self.arrivals.last_mut().expect("one was just pushed");
             last.prefix = (0..history_blocks).map(|b| history * 1_000 + b).collect();
@@ -364,7 +364,7 @@
                 break;
             }
             // A few organisations send much more than the others.
-            let org = OrgId((maker.unit().powi(3) * ORGS) as u32);
+            let org = OrgId((maker.unit().powi(3) * ORGS) as u64);
             let pool = (maker.unit() * POOLS as f64) as usize;
             maker.arrival(at, pool, kind, org, false);
         }
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -155,6 +155,7 @@
         self.now = now.max(self.now);
         match event {
             Event::Offer(ticket, req) => self.offer(ticket, req),
+            Event::Adopt(ticket, key, req) => self.adopt(ticket, key, req),
             Event::Withdraw(ticket) => drop(self.queue.remove(ticket)),
             Event::FirstToken(ticket) => self.first_token(ticket),
             Event::End(ticket, ending) => self.end(ticket, ending),
@@ -388,6 +389,34 @@
         self.actions.push_back(Action::Dispatch(ticket, placed.choice, why));
     }
 
+    /// Counts a request that another scheduler sent; its prompt is taken to be read.
+    fn adopt(&mut self, ticket: Ticket, key: EndpointKey, req: Descriptor) {
+        let Waiting { descriptor: req, cost, .. } = self.estimate(req);
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        let order = SendOrder {
+            unread_tokens: 0,
+            long_prefill: false,
+            is_long: false,
+            streamed: false,
+            deadline: req.deadline,
+        };
+        let sent = endpoint.send(self.now, &order);
+        let now = self.now;
+        self.tier_demand(req.rank).change(now, 1);
+        let flight = Flight {
+            endpoint: key,
+            rank: req.rank,
+            org: req.org,
+            weight: req.weight,
+            kind: req.kind,
+            prompt_tokens: req.prompt_tokens,
+            cost,
+            reading: None,
+            sent,
+        };
+        self.flights.insert(ticket, flight);
+    }
+
     fn shed(&mut self) {
         if !self.policy.shedding {
             return;
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -21,11 +21,11 @@
 
 /// Names an organisation, from the driver's arena.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct OrgId(pub u32);
+pub struct OrgId(pub u64);
 
 /// Names a kind of work, from the driver's arena.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct KindId(pub u16);
+pub struct KindId(pub u32);
 
 /// Hashes of a prompt's blocks; each covers all blocks before it.
 pub type PrefixBlocks = SmallVec<[u64; 8]>;
@@ -97,6 +97,8 @@
 pub enum Event {
     /// A request came in.
     Offer(Ticket, Descriptor),
+    /// A request is already at an endpoint, sent there by another scheduler.
+    Adopt(Ticket, EndpointKey, Descriptor),
     /// The caller of a waiting request went away.
     Withdraw(Ticket),
     /// The first token of a dispatched request came.
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -266,7 +266,7 @@
     use super::*;
     use crate::event::KindId;
 
-    fn push(queue: &mut Queue, ticket: u64, org: u32, cost: f64) {
+    fn push(queue: &mut Queue, ticket: u64, org: u64, cost: f64) {
         let descriptor = Descriptor {
             rank: 0,
             org: OrgId(org),
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -16,7 +16,7 @@
 /// One step of a schedule.
 #[derive(Clone, Debug)]
 enum Step {
-    Offer { rank: u8, org: u32, long: bool, patience: Millis },
+    Offer { rank: u8, org: u64, long: bool, patience: Millis },
     Withdraw(usize),
     First(usize),
     End(usize, bool),
@@ -29,7 +29,7 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        12 => (0..4_u8, 0..5_u32, any::<bool>(), 50.0..20_000.0).prop_map(
+        12 => (0..4_u8, 0..5_u64, any::<bool>(), 50.0..20_000.0).prop_map(
             |(rank, org, long, patience)| Step::Offer { rank, org, long, patience }
         ),
         1 => any::<usize>().prop_map(Step::Withdraw),
@@ -123,7 +123,7 @@
         }
     }
 
-    fn offer(&mut self, rank: u8, org: u32, long: bool, patience: Millis) {
+    fn offer(&mut self, rank: u8, org: u64, long: bool, patience: Millis) {
         self.offered += 1;
         let ticket = Ticket(self.offered);
         self.ranks.insert(ticket, rank);
@@ -132,10 +132,10 @@
             rank,
             org: OrgId(org),
             weight: 1,
-            kind: KindId(u16::from(long)),
+            kind: KindId(u32::from(long)),
             prompt_tokens: if long { 4_000 } else { 100 },
             answer_tokens: if long { 300 } else { 10 },
-            prefix: (0..if long { 8 } else { 0 }).map(|b| u64::from(org) * 100 + b).collect(),
+            prefix: (0..if long { 8 } else { 0 }).map(|b| org * 100 + b).collect(),
             deadline: self.now + patience,
             streamed: true,
             failed_at: Default::default(),
--- a/crates/entry/src/caller/run.rs
+++ b/crates/entry/src/caller/run.rs
@@ -15,7 +15,7 @@
     journal::{Attempt, Decision},
     link::{Cause, Failure, Outgoing, Piece},
     request::{Admitted, Dispatched, Granted, Request, RequestId},
-    tasks::scheduler::{self, Answer, Grant},
+    tasks::scheduler::{self, Answer, Grant, Offer},
     view::{KindView, OrgView},
 };
 
@@ -58,8 +58,8 @@
         self.decision.attempts.push(Attempt {
             endpoint: Some(grant.target.name.clone()),
             refusal: None,
-            expected_first_token_ms: Some(grant.choice.first_token_ms),
-            cached_tokens: Some(grant.choice.cached_tokens),
+            expected_first_token_ms: Some(grant.first_token_ms),
+            cached_tokens: Some(grant.cached_tokens),
             inputs: grant.why,
         });
     }
@@ -110,10 +110,16 @@
     trace: &mut Trace,
 ) -> Result<Request<Granted>, Problem> {
     let Some(patience) = life.patience() else { return Err(too_late(&life)) };
-    let mut descriptor = job.descriptor.clone();
-    descriptor.failed_at = life.failed_at().clone();
-    let pool = job.kind.spec.pool.clone();
-    let answer = scheduler::ask(&cx.scheduler, cx.next_ticket(), pool, descriptor, patience).await;
+    let ticket = cx.next_ticket();
+    let offer = |reply| Offer {
+        ticket,
+        pool: job.kind.spec.pool.clone(),
+        descriptor: job.descriptor.clone(),
+        failed_at: life.failed_at().to_vec(),
+        patience,
+        reply,
+    };
+    let answer = scheduler::ask(&cx.scheduler, offer, ticket).await;
     match answer {
         Some(Answer::Granted(grant)) => {
             trace.granted(&grant);
--- a/crates/entry/src/cmd/serve.rs
+++ b/crates/entry/src/cmd/serve.rs
@@ -31,7 +31,7 @@
             daemon.operator_address()?
         );
         stop_on_signals(&daemon.stop_handle())?;
-        let cut = daemon.serve().until_stopped().await;
+        let cut = daemon.serve()?.until_stopped().await;
         if cut > 0 {
             return Err(format!("{cut} requests were cut off when the drain time ran out").into());
         }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -13,6 +13,7 @@
 };
 
 use baobabvane_domain::{Incarnation, Uuid};
+use baobabvane_members::SharedKey;
 use baobabvane_platform::{HttpLog, LogClient, MemoryLog};
 use monoio::{
     net::{ListenerOpts, TcpListener},
@@ -22,9 +23,15 @@
 use crate::{
     caller,
     journal::Journal,
+    message::Mailbox,
     operator::{self, OperatorContext},
+    peer,
     settings::Settings,
-    tasks::{claimant, configurator, scheduler},
+    tasks::{
+        claimant, configurator,
+        members::{self, ToMembers},
+        scheduler,
+    },
     telemetry,
     view::Published,
 };
@@ -45,12 +52,14 @@
 pub struct Starting {
     callers: TcpListener,
     operators: TcpListener,
+    peers: Option<TcpListener>,
 }
 
 /// Callers and operators are served.
 pub struct Serving {
     cx: Rc<caller::Context>,
     stop_by_operator: Rc<Cell<bool>>,
+    members: Option<Mailbox<ToMembers>>,
 }
 
 /// Asks a daemon to stop, from any thread or signal handler.
@@ -86,6 +95,7 @@
         let state = Starting {
             callers: bind(settings.listen)?,
             operators: bind(settings.operator_listen)?,
+            peers: settings.peer_listen.map(bind).transpose()?,
         };
         Ok(Self { settings: Rc::new(settings), stop: StopHandle::default(), state })
     }
@@ -101,7 +111,11 @@
     }
 
     /// Starts the tasks and begins to serve.
-    pub fn serve(self) -> Daemon<Serving> {
+    ///
+    /// # Errors
+    ///
+    /// When the address for other instances cannot be bound for datagrams.
+    pub fn serve(self) -> io::Result<Daemon<Serving>> {
         let Self { settings, stop, state } = self;
         let incarnation = Incarnation(Uuid::new_v4());
         let log = open_log(&settings);
@@ -109,7 +123,20 @@
         let published = Published::default();
         let has_configuration = Rc::new(Cell::new(false));
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
-        let scheduler = scheduler::spawn(settings.zone.clone(), connect_timeout);
+        let peer_key = state.peers.is_some().then(|| SharedKey::new(&settings.peer_secret));
+        let identity = scheduler::Identity {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            peer_key: peer_key.clone(),
+        };
+        let scheduler = scheduler::spawn(identity, connect_timeout);
+        let mut members = None;
+        if let (Some(listener), Some(key)) = (state.peers, peer_key) {
+            let address = listener.local_addr()?;
+            let to = members::spawn(&settings, address, key.clone(), scheduler.clone())?;
+            members = Some(to);
+            monoio::spawn(peer::accept(listener, key, scheduler.clone()));
+        }
         let claimant = claimant::spawn(log.clone(), &settings, incarnation);
         let configurator = configurator::spawn(
             log,
@@ -134,6 +161,7 @@
         let operator_cx = Rc::new(OperatorContext {
             caller: Rc::clone(&cx),
             configurator,
+            members: members.clone(),
             metrics,
             stop: Rc::clone(&stop_by_operator),
         });
@@ -145,7 +173,7 @@
             settings.zone,
             incarnation.0
         );
-        Daemon { settings, stop, state: Serving { cx, stop_by_operator } }
+        Ok(Daemon { settings, stop, state: Serving { cx, stop_by_operator, members } })
     }
 }
 
@@ -161,11 +189,14 @@
     ///
     /// Returns how many requests were cut off because the drain time ran out.
     pub async fn until_stopped(self) -> usize {
-        let Serving { cx, stop_by_operator } = &self.state;
+        let Serving { cx, stop_by_operator, members } = &self.state;
         while !self.stop.is_set() && !stop_by_operator.get() {
             sleep(POLL).await;
         }
         cx.draining.set(true);
+        if let Some(members) = members {
+            members.send(ToMembers::Leave);
+        }
         log::info!("event=draining active={}", cx.active.get());
         let drain = Duration::from_millis(self.settings.drain_timeout_ms);
         let deadline = Instant::now() + drain;
--- a/crates/entry/src/embedded.rs
+++ b/crates/entry/src/embedded.rs
@@ -45,7 +45,13 @@
                 let addresses =
                     daemon.caller_address().and_then(|c| Ok((c, daemon.operator_address()?)));
                 let _ = tx.send(addresses.map(|a| (a, daemon.stop_handle())));
-                daemon.serve().until_stopped().await
+                match daemon.serve() {
+                    Ok(serving) => serving.until_stopped().await,
+                    Err(e) => {
+                        log::error!("event=start_failed error={:?}", e.to_string());
+                        0
+                    }
+                }
             })
         });
         let ended = |_| io::Error::other("the instance ended at its start");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,8 @@
 //!   the ledger, the configurator the replica;
 //! - `link` sends it to the endpoint that was granted.
 //!
+//! - `peer` asks the schedulers of other instances, and lets them ask ours.
+//!
 //! `operator` serves the operators' API, `settings` holds what is set at start,
 //! and [`Daemon`] joins all of them. See [the design](../../../docs/DESIGN.md).
 
@@ -18,6 +20,7 @@
 mod link;
 mod message;
 mod operator;
+mod peer;
 mod prompt;
 mod request;
 mod settings;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -8,7 +8,11 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 
-use crate::{caller, message::Mailbox, tasks::configurator::ToConfigurator};
+use crate::{
+    caller,
+    message::Mailbox,
+    tasks::{configurator::ToConfigurator, members::ToMembers},
+};
 
 pub(crate) use connection::accept;
 
@@ -16,6 +20,8 @@
 pub(crate) struct OperatorContext {
     pub(crate) caller: Rc<caller::Context>,
     pub(crate) configurator: Mailbox<ToConfigurator>,
+    /// The membership, unless the instance is alone.
+    pub(crate) members: Option<Mailbox<ToMembers>>,
     pub(crate) metrics: PrometheusHandle,
     /// Set to stop the instance.
     pub(crate) stop: Rc<Cell<bool>>,
--- a/crates/entry/src/operator/connection.rs
+++ b/crates/entry/src/operator/connection.rs
@@ -17,6 +17,7 @@
     tasks::{
         claimant::{ClaimStatus, ToClaimant},
         configurator::{ConfigStatus, ToConfigurator},
+        members::ToMembers,
         scheduler::{PoolStatus, ToScheduler},
     },
 };
@@ -118,9 +119,49 @@
     connections: usize,
     configuration: ConfigStatus,
     claims: ClaimStatus,
+    members: Option<Members>,
     pools: Vec<PoolStatus>,
 }
 
+/// The live instances, and what was heard of them.
+#[derive(Serialize)]
+struct Members {
+    live: Vec<LiveInstance>,
+    datagrams_sent: u64,
+    bytes_sent: u64,
+    datagrams_received: u64,
+    bytes_received: u64,
+    forged: u64,
+    replayed: u64,
+    broken: u64,
+}
+
+#[derive(Serialize)]
+struct LiveInstance {
+    name: String,
+    zone: String,
+    leaving: bool,
+}
+
+async fn members(cx: &OperatorContext) -> Option<Members> {
+    let status = cx.members.as_ref()?.ask(ToMembers::Status).await?;
+    let live = status.roster.members().map(|m| LiveInstance {
+        name: m.name.clone(),
+        zone: m.zone.clone(),
+        leaving: m.leaving,
+    });
+    Some(Members {
+        live: live.collect(),
+        datagrams_sent: status.counts.sent,
+        bytes_sent: status.counts.sent_bytes,
+        datagrams_received: status.counts.received,
+        bytes_received: status.counts.received_bytes,
+        forged: status.counts.forged,
+        replayed: status.counts.replayed,
+        broken: status.counts.broken,
+    })
+}
+
 async fn status(cx: &OperatorContext) -> Result<Response, Problem> {
     let configuration = cx.configurator.ask(ToConfigurator::Status).await.ok_or_else(stopping)?;
     let claims = cx.caller.claimant.ask(ToClaimant::Status).await.ok_or_else(stopping)?;
@@ -134,6 +175,7 @@
         connections: cx.caller.connections.get(),
         configuration,
         claims,
+        members: members(cx).await,
         pools,
     };
     Ok(json(200, &status))
--- /dev/null
+++ b/crates/entry/src/peer/frames.rs
@@ -0,0 +1,157 @@
+//! Frames on a connection between instances.
+//!
+//! Both ends draw a nonce. Every frame carries its length and a keyed hash over
+//! both nonces, its direction, its number and its content, so that a frame can
+//! be neither forged nor repeated, nor taken for one of another connection.
+
+use std::io;
+
+use baobabvane_members::SharedKey;
+use monoio::{
+    io::{
+        AsyncReadRent, AsyncReadRentExt, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf,
+        OwnedWriteHalf, Splitable,
+    },
+    net::TcpStream,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+/// The version of the messages; an instance of another release is not asked.
+const VERSION: u8 = 1;
+const NONCE_BYTES: usize = 16;
+const TAG_BYTES: usize = 16;
+/// The largest frame, in bytes.
+const MAX_FRAME_BYTES: u32 = 1024 * 1024;
+
+/// Why a connection between instances ended.
+#[derive(Debug, Error)]
+pub(crate) enum FrameError {
+    #[error("connection failed: {0}")]
+    Io(#[from] io::Error),
+    #[error("the other instance speaks version {0}")]
+    Version(u8),
+    #[error("the other instance does not have the shared key")]
+    Forged,
+    #[error("a frame of {0} bytes is too large")]
+    TooLarge(u32),
+    #[error("a frame cannot be read: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// Which end opened the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Side {
+    Client = 1,
+    Server = 2,
+}
+
+impl Side {
+    fn other(self) -> Self {
+        match self {
+            Self::Client => Self::Server,
+            Self::Server => Self::Client,
+        }
+    }
+}
+
+/// Authenticates the frames of one direction.
+struct Seal {
+    key: SharedKey,
+    context: Vec<u8>,
+    number: u64,
+}
+
+impl Seal {
+    fn new(key: &SharedKey, nonces: &[u8], side: Side) -> Self {
+        let mut context = nonces.to_vec();
+        context.push(side as u8);
+        Self { key: key.clone(), context, number: 0 }
+    }
+
+    fn message(&mut self, content: &[u8]) -> Vec<u8> {
+        self.number += 1;
+        let mut message = self.context.clone();
+        message.extend_from_slice(&self.number.to_le_bytes());
+        message.extend_from_slice(content);
+        message
+    }
+}
+
+/// The reading half.
+pub(crate) struct FrameReader {
+    half: OwnedReadHalf<TcpStream>,
+    seal: Seal,
+}
+
+/// The writing half.
+pub(crate) struct FrameWriter {
+    half: OwnedWriteHalf<TcpStream>,
+    seal: Seal,
+}
+
+/// Exchanges versions and nonces.
+pub(crate) async fn handshake(
+    stream: TcpStream,
+    key: &SharedKey,
+    side: Side,
+) -> Result<(FrameReader, FrameWriter), FrameError> {
+    let _ = stream.set_nodelay(true);
+    let (mut reader, mut writer) = stream.into_split();
+    let own: [u8; NONCE_BYTES] = rand::random();
+    let mut hello = vec![VERSION];
+    hello.extend_from_slice(&own);
+    write_all(&mut writer, hello).await?;
+    let hello = read_exact(&mut reader, 1 + NONCE_BYTES).await?;
+    if hello[0] != VERSION {
+        return Err(FrameError::Version(hello[0]));
+    }
+    let nonces = match side {
+        Side::Client => [&own[..], &hello[1..]].concat(),
+        Side::Server => [&hello[1..], &own[..]].concat(),
+    };
+    let reader = FrameReader { half: reader, seal: Seal::new(key, &nonces, side.other()) };
+    let writer = FrameWriter { half: writer, seal: Seal::new(key, &nonces, side) };
+    Ok((reader, writer))
+}
+
+impl FrameReader {
+    /// Reads the next message.
+    pub(crate) async fn read<T: DeserializeOwned>(&mut self) -> Result<T, FrameError> {
+        let head = read_exact(&mut self.half, 4 + TAG_BYTES).await?;
+        let (length, tag) = head.split_at(4);
+        let length = u32::from_le_bytes(length.try_into().expect("four bytes"));
+        if length > MAX_FRAME_BYTES {
+            return Err(FrameError::TooLarge(length));
+        }
+        let content = read_exact(&mut self.half, length as usize).await?;
+        let message = self.seal.message(&content);
+        let tag: [u8; TAG_BYTES] = tag.try_into().expect("the tag's length");
+        if !self.seal.key.verify(&message, &tag) {
+            return Err(FrameError::Forged);
+        }
+        Ok(postcard::from_bytes(&content)?)
+    }
+}
+
+impl FrameWriter {
+    /// Writes a message.
+    pub(crate) async fn write(&mut self, message: &impl Serialize) -> Result<(), FrameError> {
+        let content = postcard::to_stdvec(message)?;
+        let sealed = self.seal.message(&content);
+        let tag = self.seal.key.hash(&sealed);
+        let mut frame = (content.len() as u32).to_le_bytes().to_vec();
+        frame.extend_from_slice(&tag[..TAG_BYTES]);
+        frame.extend_from_slice(&content);
+        Ok(write_all(&mut self.half, frame).await?)
+    }
+}
+
+async fn write_all(writer: &mut impl AsyncWriteRent, bytes: Vec<u8>) -> io::Result<()> {
+    writer.write_all(bytes).await.0.map(drop)
+}
+
+async fn read_exact(reader: &mut impl AsyncReadRent, length: usize) -> io::Result<Vec<u8>> {
+    let (result, bytes) = reader.read_exact(vec![0; length]).await;
+    result.map(|_| bytes)
+}
--- /dev/null
+++ b/crates/entry/src/peer/incoming.rs
@@ -0,0 +1,90 @@
+//! Lets other instances ask our scheduler.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use baobabvane_members::SharedKey;
+use local_sync::mpsc::unbounded;
+use monoio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+use crate::{
+    message::Mailbox,
+    peer::{
+        frames::{FrameError, FrameReader, FrameWriter, Side, handshake},
+        message::{PeerAsk, PeerReply},
+    },
+    tasks::scheduler::ToScheduler,
+};
+
+/// A connection that says nothing for this long is closed; the other end pings.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
+
+/// Names a connection that another instance opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ConnId(u64);
+
+/// Accepts connections of other instances until the daemon ends.
+pub(crate) async fn accept(listener: TcpListener, key: SharedKey, scheduler: Mailbox<ToScheduler>) {
+    let next = Rc::new(Cell::new(0));
+    while let Ok((stream, _)) = listener.accept().await {
+        next.set(next.get() + 1);
+        let id = ConnId(next.get());
+        let (key, scheduler) = (key.clone(), scheduler.clone());
+        monoio::spawn(async move {
+            if let Err(e) = serve(id, stream, &key, &scheduler).await {
+                log::debug!("event=peer_connection_ended error={:?}", e.to_string());
+                if matches!(e, FrameError::Forged) {
+                    metrics::counter!("baobabvane_peer_frames_forged_total").increment(1);
+                }
+            }
+            scheduler.send(ToScheduler::ConnDown(id));
+        });
+    }
+}
+
+async fn serve(
+    id: ConnId,
+    stream: TcpStream,
+    key: &SharedKey,
+    scheduler: &Mailbox<ToScheduler>,
+) -> Result<(), FrameError> {
+    let open = timeout(MAX_SILENCE, handshake(stream, key, Side::Server));
+    let (reader, writer) = open.await.map_err(|_| timed_out())??;
+    let (mailbox, rx) = Mailbox::new();
+    scheduler.send(ToScheduler::ConnUp(id, mailbox.clone()));
+    monoio::select! {
+        result = write(writer, rx) => result,
+        result = read(id, reader, scheduler, mailbox) => result,
+    }
+}
+
+async fn write(
+    mut writer: FrameWriter,
+    mut rx: unbounded::Rx<PeerReply>,
+) -> Result<(), FrameError> {
+    while let Some(reply) = rx.recv().await {
+        writer.write(&reply).await?;
+    }
+    Ok(())
+}
+
+async fn read(
+    id: ConnId,
+    mut reader: FrameReader,
+    scheduler: &Mailbox<ToScheduler>,
+    replies: Mailbox<PeerReply>,
+) -> Result<(), FrameError> {
+    loop {
+        let ask = timeout(MAX_SILENCE, reader.read()).await.map_err(|_| timed_out())??;
+        match ask {
+            PeerAsk::Ping(number) => replies.send(PeerReply::Pong(number)),
+            ask => scheduler.send(ToScheduler::PeerAsk(id, ask)),
+        }
+    }
+}
+
+fn timed_out() -> FrameError {
+    FrameError::Io(std::io::ErrorKind::TimedOut.into())
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use baobabvane_decide::{Ending, FailedAt};
+use baobabvane_decide::Ending;
 use baobabvane_domain::{Problem, Uuid, Verdict};
 use monoio::time::Instant;
 
@@ -39,7 +39,7 @@
 pub(crate) struct Admitted {
     deadline: Instant,
     idempotent: bool,
-    failed_at: FailedAt,
+    failed_at: Vec<String>,
     /// The worst that earlier attempts left behind.
     verdict: Verdict,
 }
@@ -88,7 +88,7 @@
         self.to(|Received| Admitted {
             deadline,
             idempotent,
-            failed_at: FailedAt::new(),
+            failed_at: Vec::new(),
             verdict: Verdict::NotRun,
         })
     }
@@ -101,7 +101,7 @@
     }
 
     /// Returns where earlier dispatches failed.
-    pub(crate) fn failed_at(&self) -> &FailedAt {
+    pub(crate) fn failed_at(&self) -> &[String] {
         &self.stage.failed_at
     }
 
@@ -159,14 +159,13 @@
     /// Returns to waiting when the failure allows another dispatch.
     pub(crate) fn failed(self, failure: &Failure) -> Result<Request<Admitted>, Problem> {
         let endpoint = self.endpoint().to_owned();
-        let key = self.stage.grant.choice.endpoint;
         let Self { id, received_at, stage: Dispatched { mut admitted, grant, exchange } } = self;
         drop(exchange);
         grant.end(match failure.cause {
             Cause::Endpoint => Ending::Failed,
             Cause::Silence => Ending::Lost,
         });
-        admitted.failed_at.push(key);
+        admitted.failed_at.push(endpoint.clone());
         admitted.verdict = admitted.verdict.max(failure.verdict);
         let allowed = failure.verdict.allows_dispatch(admitted.idempotent);
         if allowed && admitted.failed_at.len() < MAX_ATTEMPTS {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -62,6 +62,10 @@
     pub operator_listen: SocketAddr,
     /// The platform's log; none means a log inside this process.
     pub log: Option<SocketAddr>,
+    /// Where other instances connect; none means that this one is alone.
+    pub peer_listen: Option<SocketAddr>,
+    /// The secret that all instances share.
+    pub peer_secret: String,
     /// The other instances.
     pub peers: Vec<Peer>,
     /// Who may use the operators' API.
@@ -72,6 +76,8 @@
     pub claim_interval_ms: u64,
     /// How long a key may be used after its time of issue.
     pub key_max_age_ms: u64,
+    /// After what time the configuration is appended to the log again.
+    pub snapshot_interval_ms: u64,
     /// The largest head of a request.
     pub head_bytes: usize,
     /// The largest body of a request.
@@ -98,11 +104,14 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
             operator_listen: SocketAddr::from(([127, 0, 0, 1], 8081)),
             log: None,
+            peer_listen: None,
+            peer_secret: String::new(),
             peers: Vec::new(),
             operators: Vec::new(),
             log_timeout_ms: 2_000,
             claim_interval_ms: 10,
             key_max_age_ms: 600_000,
+            snapshot_interval_ms: 3_600_000,
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
             head_timeout_ms: 10_000,
@@ -139,6 +148,19 @@
                  with the process",
                 "",
             ),
+            text(
+                "peer-listen",
+                "IP:PORT",
+                "Where other instances connect, by TCP and UDP; without it the instance is alone",
+                "",
+            ),
+            text(
+                "peer-secret",
+                "SECRET",
+                "Secret that all instances share; best set by the environment",
+                "",
+            )
+            .hide_env_values(true),
             text("peers", "LIST", "Other instances as NAME=ZONE=IP:PORT, separated by commas", ""),
             text(
                 "operator-tokens",
@@ -158,6 +180,12 @@
                 "How long an idempotency key may be used; must be well under the log's retention",
                 d.key_max_age_ms,
             ),
+            number(
+                "snapshot-interval-ms",
+                "After what time the configuration is appended again; must be well under the \
+                 log's retention",
+                d.snapshot_interval_ms,
+            ),
             number("head-bytes", "Largest head of a request, in bytes", d.head_bytes as u64),
             number("body-bytes", "Largest body of a request, in bytes", d.body_bytes as u64),
             number("head-timeout-ms", "How long a head may take", d.head_timeout_ms),
@@ -198,6 +226,11 @@
                 log if log.is_empty() => None,
                 log => Some(parse("--log", &log, ADDRESS)?),
             },
+            peer_listen: match string("peer-listen") {
+                address if address.is_empty() => None,
+                address => Some(parse("--peer-listen", &address, ADDRESS)?),
+            },
+            peer_secret: string("peer-secret"),
             peers: list(&string("peers")).map(parse_peer).collect::<Result<_, _>>()?,
             operators: list(&string("operator-tokens"))
                 .map(parse_operator)
@@ -205,6 +238,7 @@
             log_timeout_ms: number("log-timeout-ms"),
             claim_interval_ms: number("claim-interval-ms"),
             key_max_age_ms: number("key-max-age-ms"),
+            snapshot_interval_ms: number("snapshot-interval-ms"),
             head_bytes: number("head-bytes") as usize,
             body_bytes: number("body-bytes") as usize,
             head_timeout_ms: number("head-timeout-ms"),
@@ -229,6 +263,7 @@
         in_range("--log-timeout-ms", self.log_timeout_ms, 10, 60_000)?;
         in_range("--claim-interval-ms", self.claim_interval_ms, 0, 1_000)?;
         in_range("--key-max-age-ms", self.key_max_age_ms, 1_000, MAX_MS)?;
+        in_range("--snapshot-interval-ms", self.snapshot_interval_ms, 100, MAX_MS)?;
         in_range("--head-bytes", self.head_bytes as u64, 1024, 1024 * 1024)?;
         in_range("--body-bytes", self.body_bytes as u64, 1024, 256 * 1024 * 1024)?;
         in_range("--head-timeout-ms", self.head_timeout_ms, 10, MAX_MS)?;
@@ -237,6 +272,13 @@
         in_range("--connect-timeout-ms", self.connect_timeout_ms, 10, 60_000)?;
         in_range("--drain-timeout-ms", self.drain_timeout_ms, 0, MAX_MS)?;
         in_range("--max-connections", self.max_connections as u64, 1, 1_000_000)?;
+        if self.peer_listen.is_some() && self.peer_secret.len() < MIN_TOKEN_BYTES {
+            return Err(SettingsError {
+                flag: "--peer-secret",
+                value: "(hidden)".to_owned(),
+                allowed: format!("at least {MIN_TOKEN_BYTES} bytes when --peer-listen is set"),
+            });
+        }
         match self.peers.iter().find(|p| p.name == self.name) {
             Some(peer) => Err(SettingsError {
                 flag: "--peers",
@@ -306,7 +348,7 @@
     Ok(Peer { name: name.to_owned(), zone: zone.to_owned(), address })
 }
 
-/// The shortest token of an operator, in bytes.
+/// The shortest secret, in bytes.
 const MIN_TOKEN_BYTES: usize = 8;
 
 fn parse_operator(item: &str) -> Result<Operator, SettingsError> {
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod claimant;
 pub(crate) mod configurator;
+pub(crate) mod members;
 pub(crate) mod record;
 pub(crate) mod scheduler;
--- a/crates/entry/src/tasks/configurator.rs
+++ b/crates/entry/src/tasks/configurator.rs
@@ -16,7 +16,7 @@
         record::{decode, encode, follow},
         scheduler::ToScheduler,
     },
-    view::{Published, View, ViewMaker},
+    view::{Published, View},
 };
 
 /// Pause before an append that the log refused is tried again.
@@ -27,8 +27,6 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// A change is answered as pending when a zone is missing after this time.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Records after which an instance appends the configuration again.
-const SNAPSHOT_EVERY: u64 = 10_000;
 
 /// What became of a proposed change.
 #[derive(Clone, Debug)]
@@ -49,6 +47,7 @@
     Audit(oneshot::Sender<Vec<AuditEntry>>),
     Status(oneshot::Sender<ConfigStatus>),
     Read(Batch),
+    Progress(Batch),
     ReadFailed,
     Appended(Uuid, Result<u64, AppendError>),
 }
@@ -83,13 +82,14 @@
     log: LogClient,
     settings: Rc<Settings>,
     replica: Replica,
-    maker: ViewMaker,
     published: Published,
     scheduler: Mailbox<ToScheduler>,
     mailbox: Mailbox<ToConfigurator>,
     waiters: Vec<Waiter>,
     reported: u64,
     log_reachable: bool,
+    /// When the last snapshot was taken by the log, in milliseconds since the epoch.
+    snapshot_unix_ms: u64,
     ready: Rc<std::cell::Cell<bool>>,
 }
 
@@ -106,19 +106,26 @@
         log: log.clone(),
         settings,
         replica: Replica::new(),
-        maker: ViewMaker::default(),
         published,
         scheduler,
         mailbox: mailbox.clone(),
         waiters: Vec::new(),
         reported: 0,
         log_reachable: false,
+        snapshot_unix_ms: unix_ms(),
         ready,
     };
+    let progress_log = log.clone();
     let to = mailbox.clone();
     monoio::spawn(follow(log, Stream::Config, move |read| {
         to.send(read.map_or(ToConfigurator::ReadFailed, ToConfigurator::Read));
     }));
+    let to = mailbox.clone();
+    monoio::spawn(follow(progress_log, Stream::Progress, move |read| {
+        if let Some(batch) = read {
+            to.send(ToConfigurator::Progress(batch));
+        }
+    }));
     monoio::spawn(configurator.run(rx));
     mailbox
 }
@@ -132,6 +139,7 @@
                 Err(_) => {}
             }
             self.answer_waiters();
+            self.append_snapshot();
         }
     }
 
@@ -145,6 +153,11 @@
                 let _ = reply.send(self.status());
             }
             ToConfigurator::Read(batch) => self.read(&batch),
+            ToConfigurator::Progress(batch) => {
+                for record in &batch.records {
+                    self.replica.apply_progress(&decode(&record.data));
+                }
+            }
             ToConfigurator::ReadFailed => {
                 if self.log_reachable {
                     log::warn!("event=log_unreachable");
@@ -188,6 +201,9 @@
         let mut changed = false;
         for record in &batch.records {
             changed |= self.replica.apply(record.offset, &decode(&record.data)).changed;
+            if self.replica.snapshot_at() == record.offset {
+                self.snapshot_unix_ms = record.at_ms;
+            }
         }
         let caught_up = self.replica.next() >= batch.end;
         if changed || (caught_up && !self.ready.get()) {
@@ -196,13 +212,11 @@
         if caught_up && self.replica.has_state() {
             self.ready.set(true);
             self.report();
-            self.append_snapshot();
         }
     }
 
     fn publish(&mut self) {
-        let view: View = self.maker.make(self.replica.catalog(), self.replica.changed_at());
-        let view = Rc::new(view);
+        let view = Rc::new(View::new(self.replica.catalog(), self.replica.changed_at()));
         log::info!("event=configuration_in_force version={}", view.version);
         metrics::gauge!("baobabvane_configuration_version").set(view.version as f64);
         self.published.set(Rc::clone(&view));
@@ -221,27 +235,36 @@
             zone: self.settings.zone.clone(),
             offset,
         });
-        self.append_until_taken(encode(&[entry]));
+        self.append_until_taken(Stream::Progress, encode(&[entry]));
     }
 
     /// Appends the configuration again before the log drops its records.
     fn append_snapshot(&mut self) {
         let next = self.replica.next();
-        if next < self.replica.snapshot_at() + SNAPSHOT_EVERY {
+        let now = unix_ms();
+        let is_due = now > self.snapshot_unix_ms + self.snapshot_interval_ms();
+        if !is_due || !self.replica.has_state() || !self.log_reachable || next == 1 {
             return;
         }
+        self.snapshot_unix_ms = now;
         let catalog = self.replica.catalog().clone();
         let entry = Entry::Snapshot(Snapshot { as_of: next - 1, catalog });
-        self.append_until_taken(encode(&[entry]));
+        self.append_until_taken(Stream::Config, encode(&[entry]));
+    }
+
+    /// Returns this instance's interval; instances differ by up to a half, so that
+    /// mostly one of them appends.
+    fn snapshot_interval_ms(&self) -> u64 {
+        let usual = self.settings.snapshot_interval_ms;
+        let hash = blake3::hash(self.settings.name.as_bytes());
+        usual + usual * u64::from(hash.as_bytes()[0]) / 512
     }
 
     /// Appends a record that may stand twice in the log without harm.
-    fn append_until_taken(&self, data: String) {
+    fn append_until_taken(&self, stream: Stream, data: String) {
         let log = self.log.clone();
         monoio::spawn(async move {
-            while let Err(AppendError::NotAppended(_)) =
-                log.append(Stream::Config, data.clone()).await
-            {
+            while let Err(AppendError::NotAppended(_)) = log.append(stream, data.clone()).await {
                 sleep(RETRY_PAUSE).await;
             }
         });
--- /dev/null
+++ b/crates/entry/src/tasks/members.rs
@@ -0,0 +1,130 @@
+//! The task that owns the membership and its socket.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use baobabvane_members::{Counts, Membership, Peer, Roster, SharedKey};
+use local_sync::{mpsc::unbounded, oneshot};
+use monoio::{net::udp::UdpSocket, time::Instant};
+
+use crate::{clock::unix_ms, message::Mailbox, settings::Settings, tasks::scheduler::ToScheduler};
+
+/// The largest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 2048;
+/// How often beats that are due are looked for.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the membership is told.
+pub(crate) enum ToMembers {
+    Received(Vec<u8>),
+    Leave,
+    Status(oneshot::Sender<MemberStatus>),
+}
+
+/// What the membership knows, for the operators.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberStatus {
+    pub(crate) roster: Rc<Roster>,
+    pub(crate) counts: Counts,
+}
+
+struct Members {
+    membership: Membership,
+    socket: Rc<UdpSocket>,
+    scheduler: Mailbox<ToScheduler>,
+    roster: Rc<Roster>,
+    start: Instant,
+}
+
+/// Binds the socket and starts the task.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub(crate) fn spawn(
+    settings: &Settings,
+    address: SocketAddr,
+    key: SharedKey,
+    scheduler: Mailbox<ToScheduler>,
+) -> io::Result<Mailbox<ToMembers>> {
+    let socket = Rc::new(UdpSocket::bind(address)?);
+    let own = Peer { name: settings.name.clone(), zone: settings.zone.clone(), address };
+    let peers = settings.peers.iter().map(|p| Peer {
+        name: p.name.clone(),
+        zone: p.zone.clone(),
+        address: p.address,
+    });
+    let membership = Membership::new(own, peers, unix_ms(), key, rand::random());
+    let (mailbox, rx) = Mailbox::new();
+    let members = Members {
+        membership,
+        socket: Rc::clone(&socket),
+        scheduler,
+        roster: Rc::default(),
+        start: Instant::now(),
+    };
+    monoio::spawn(receive(socket, mailbox.clone()));
+    monoio::spawn(members.run(rx));
+    Ok(mailbox)
+}
+
+async fn receive(socket: Rc<UdpSocket>, to: Mailbox<ToMembers>) {
+    loop {
+        let (result, buf) = socket.recv_from(vec![0; MAX_DATAGRAM_BYTES]).await;
+        // A datagram to a peer that is gone can come back as an error; go on.
+        if let Ok((len, _)) = result {
+            to.send(ToMembers::Received(buf[..len].to_vec()));
+        }
+    }
+}
+
+impl Members {
+    async fn run(mut self, mut rx: unbounded::Rx<ToMembers>) {
+        loop {
+            match monoio::time::timeout(TICK, rx.recv()).await {
+                Ok(Some(message)) => self.take(message),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+            self.beat().await;
+            self.publish();
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn take(&mut self, message: ToMembers) {
+        match message {
+            ToMembers::Received(bytes) => {
+                let now = self.now_ms();
+                if let Err(e) = self.membership.receive(now, &bytes) {
+                    log::debug!("event=datagram_dropped error={:?}", e.to_string());
+                    metrics::counter!("baobabvane_datagrams_dropped_total").increment(1);
+                }
+            }
+            ToMembers::Leave => self.membership.leave(),
+            ToMembers::Status(reply) => {
+                let roster = Rc::clone(&self.roster);
+                let _ = reply.send(MemberStatus { roster, counts: self.membership.counts() });
+            }
+        }
+    }
+
+    async fn beat(&mut self) {
+        for datagram in self.membership.tick(self.now_ms()) {
+            let _ = self.socket.send_to(datagram.bytes, datagram.to).await;
+        }
+    }
+
+    fn publish(&mut self) {
+        let roster = self.membership.roster(self.now_ms());
+        if roster == *self.roster {
+            return;
+        }
+        let names: Vec<&str> = roster.members().map(|m| m.name.as_str()).collect();
+        log::info!("event=members_changed live={}", names.join(","));
+        self.roster = Rc::new(roster);
+        self.scheduler.send(ToScheduler::Roster(Rc::clone(&self.roster)));
+    }
+}
--- a/crates/entry/src/tasks/scheduler.rs
+++ b/crates/entry/src/tasks/scheduler.rs
@@ -1,27 +1,46 @@
-//! The task that owns the decision cores.
+//! The task that owns the decision cores, or asks the instance that owns them.
+//!
+//! Each pool has one scheduler in its zone. Callers' requests stay with the
+//! instance that accepted them; only a descriptor travels. When a scheduler
+//! goes, its askers offer what waits again elsewhere and tell the next one what
+//! is at endpoints already. See [scheduling](../../../../docs/scheduling.md).
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    time::Duration,
-};
+mod endpoints;
+mod grant;
+mod held;
+mod peers;
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use baobabvane_decide::{
-    Action, Choice, Core, Counts, Descriptor, Ending, EndpointKey, EndpointSpec, Event, Policy,
-    Refusal, Ticket, TierPolicy, Why,
+    Action, Choice, Core, Counts, Ending, EndpointSpec, Event, FailedAt, Policy, Refusal, Ticket,
+    TierPolicy, Why,
 };
 use baobabvane_domain::{Catalog, Endpoint};
+use baobabvane_members::{Roster, SharedKey};
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
 use serde::Serialize;
-use slotmap::SlotMap;
 
-use crate::{clock::CoreClock, link::Link, message::Mailbox, view::View};
+pub(crate) use self::grant::{Answer, Grant, Offer, ask};
+use self::{
+    endpoints::Endpoints,
+    held::{Asker, Held, HeldRequests, Place, PoolKey},
+    peers::Peers,
+};
+use crate::{
+    clock::CoreClock,
+    message::Mailbox,
+    peer::{ConnId, PeerAsk, PeerOffer, PeerReply},
+    view::View,
+};
 
 /// How often the cores are told that time has passed.
 const TICK: Duration = Duration::from_millis(50);
 /// Tokens in one block of a prefix, as prompts are cut.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
+/// Requests that a core may hand to other zones at once.
+const SPILL_ROOM: u32 = 4;
 
 /// What the scheduler is told.
 pub(crate) enum ToScheduler {
@@ -31,61 +50,12 @@
     End(Ticket, Ending),
     Configure(Rc<View>),
     Status(oneshot::Sender<Vec<PoolStatus>>),
-}
-
-/// A request that asks for an endpoint.
-pub(crate) struct Offer {
-    pub(crate) ticket: Ticket,
-    pub(crate) pool: String,
-    pub(crate) descriptor: Descriptor,
-    /// How long the caller waits from now on.
-    pub(crate) patience: Duration,
-    pub(crate) reply: oneshot::Sender<Answer>,
-}
-
-/// What the scheduler answers to an offer.
-pub(crate) enum Answer {
-    Granted(Grant),
-    Refused(Refusal, Why),
-}
-
-/// An endpoint as the caller's side sees it.
-pub(crate) struct Target {
-    pub(crate) name: String,
-    pub(crate) link: Link,
-}
-
-/// The right to send one request to one endpoint.
-///
-/// The slot is given back when the grant ends or is dropped.
-pub(crate) struct Grant {
-    pub(crate) target: Rc<Target>,
-    pub(crate) choice: Choice,
-    pub(crate) why: Why,
-    ticket: Ticket,
-    mailbox: Mailbox<ToScheduler>,
-    ended: bool,
-}
-
-impl Grant {
-    /// Tells that the endpoint has begun to answer.
-    pub(crate) fn first_token(&self) {
-        self.mailbox.send(ToScheduler::FirstToken(self.ticket));
-    }
-
-    /// Tells how the request ended.
-    pub(crate) fn end(mut self, ending: Ending) {
-        self.ended = true;
-        self.mailbox.send(ToScheduler::End(self.ticket, ending));
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.mailbox.send(ToScheduler::End(self.ticket, Ending::Cancelled));
-        }
-    }
+    Roster(Rc<Roster>),
+    FromPeer(String, PeerReply),
+    PeerDown(String),
+    PeerAsk(ConnId, PeerAsk),
+    ConnUp(ConnId, Mailbox<PeerReply>),
+    ConnDown(ConnId),
 }
 
 /// A pool's numbers, for the operators.
@@ -93,87 +63,46 @@
 pub(crate) struct PoolStatus {
     pub(crate) zone: String,
     pub(crate) pool: String,
+    /// The instance that schedules it.
+    pub(crate) scheduler: String,
     pub(crate) endpoints: usize,
+    /// What this instance's own core holds.
     pub(crate) counts: Counts,
 }
 
-/// Withdraws an offer when it is dropped before its answer came.
-struct Offered<'a> {
-    ticket: Ticket,
-    mailbox: &'a Mailbox<ToScheduler>,
-    answered: bool,
-}
-
-impl Drop for Offered<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.mailbox.send(ToScheduler::Withdraw(self.ticket));
-        }
-    }
-}
-
-/// Asks for an endpoint and waits; dropping the future withdraws the request.
-///
-/// Returns `None` when the scheduler has ended.
-pub(crate) async fn ask(
-    mailbox: &Mailbox<ToScheduler>,
-    ticket: Ticket,
-    pool: String,
-    descriptor: Descriptor,
-    patience: Duration,
-) -> Option<Answer> {
-    let mut offered = Offered { ticket, mailbox, answered: false };
-    let offer = |reply| ToScheduler::Offer(Offer { ticket, pool, descriptor, patience, reply });
-    let answer = mailbox.ask(offer).await;
-    offered.answered = true;
-    answer
-}
-
-/// Names a pool: the endpoints of a zone that serve one model or service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct PoolKey {
-    pool: String,
-    zone: String,
-}
-
-struct Known {
-    spec: Endpoint,
-    pool: PoolKey,
-    target: Rc<Target>,
-}
-
-/// A request in a core, waiting or at an endpoint.
-struct Held {
-    pool: PoolKey,
-    waiting: Option<(Descriptor, oneshot::Sender<Answer>)>,
+/// Who the scheduler is.
+pub(crate) struct Identity {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) peer_key: Option<SharedKey>,
 }
 
 /// The state of the task.
 struct Scheduler {
+    name: String,
     zone: String,
-    connect_timeout: Duration,
     clock: CoreClock,
     mailbox: Mailbox<ToScheduler>,
     tiers: Vec<TierPolicy>,
     cores: BTreeMap<PoolKey, Core>,
-    endpoints: SlotMap<EndpointKey, Known>,
-    by_name: HashMap<String, EndpointKey>,
-    held: HashMap<Ticket, Held>,
+    endpoints: Endpoints,
+    held: HeldRequests,
+    peers: Peers,
 }
 
 /// Starts the task.
-pub(crate) fn spawn(zone: String, connect_timeout: Duration) -> Mailbox<ToScheduler> {
+pub(crate) fn spawn(identity: Identity, connect_timeout: Duration) -> Mailbox<ToScheduler> {
     let (mailbox, rx) = Mailbox::new();
     let scheduler = Scheduler {
-        zone,
-        connect_timeout,
+        peers: Peers::new(identity.name.clone(), identity.peer_key),
+        name: identity.name,
+        zone: identity.zone,
         clock: CoreClock::start(),
         mailbox: mailbox.clone(),
         tiers: Vec::new(),
         cores: BTreeMap::new(),
-        endpoints: SlotMap::with_key(),
-        by_name: HashMap::new(),
-        held: HashMap::new(),
+        endpoints: Endpoints::new(connect_timeout),
+        held: HeldRequests::default(),
     };
     monoio::spawn(scheduler.run(rx));
     mailbox
@@ -193,62 +122,262 @@
     fn take(&mut self, message: ToScheduler) {
         match message {
             ToScheduler::Offer(offer) => self.offer(offer),
-            ToScheduler::Withdraw(ticket) => {
-                if let Some(held) = self.held.remove(&ticket) {
-                    self.handle(&held.pool, Event::Withdraw(ticket));
-                }
-            }
-            ToScheduler::FirstToken(ticket) => {
-                if let Some(held) = self.held.get(&ticket) {
-                    let pool = held.pool.clone();
-                    self.handle(&pool, Event::FirstToken(ticket));
-                }
-            }
-            ToScheduler::End(ticket, ending) => {
-                if let Some(held) = self.held.remove(&ticket) {
-                    self.handle(&held.pool, Event::End(ticket, ending));
-                }
-            }
+            ToScheduler::Withdraw(ticket) => self.withdraw(ticket),
+            ToScheduler::FirstToken(ticket) => self.first_token(ticket),
+            ToScheduler::End(ticket, ending) => self.end(ticket, ending),
             ToScheduler::Configure(view) => self.configure(&view.catalog),
             ToScheduler::Status(reply) => {
                 let _ = reply.send(self.status());
             }
+            ToScheduler::Roster(roster) => {
+                self.peers.set_roster(roster);
+                self.move_requests();
+            }
+            ToScheduler::FromPeer(name, reply) => self.from_peer(&name, reply),
+            ToScheduler::PeerDown(name) => self.peer_down(&name),
+            ToScheduler::PeerAsk(conn, ask) => self.peer_ask(conn, ask),
+            ToScheduler::ConnUp(conn, mailbox) => self.peers.connected(conn, mailbox),
+            ToScheduler::ConnDown(conn) => self.conn_down(conn),
         }
     }
 
     fn offer(&mut self, offer: Offer) {
-        let mut descriptor = offer.descriptor;
-        descriptor.deadline = self.clock.now() + offer.patience.as_secs_f64() * 1000.0;
-        let pool = self.home_of(offer.pool);
-        let held = Held { pool: pool.clone(), waiting: Some((descriptor.clone(), offer.reply)) };
-        self.held.insert(offer.ticket, held);
-        self.core(&pool);
-        let room = self.room_elsewhere(&pool).map_or(0, |(_, room)| room);
-        self.handle(&pool, Event::NeighbourRoom(room));
-        self.handle(&pool, Event::Offer(offer.ticket, descriptor));
+        let Offer { ticket, pool, mut descriptor, failed_at, patience, reply } = offer;
+        descriptor.deadline = self.clock.now() + patience.as_secs_f64() * 1000.0;
+        let held = Held {
+            pool: self.home_of(pool),
+            descriptor,
+            failed_at,
+            place: Place::Here,
+            asker: Asker::Caller(Some(reply)),
+            endpoint: None,
+            spilled: false,
+        };
+        self.held.insert(ticket, held);
+        self.place(ticket);
     }
 
     /// Returns the pool of this zone, or of another one when this zone has none.
     fn home_of(&self, pool: String) -> PoolKey {
         let home = PoolKey { pool, zone: self.zone.clone() };
-        if self.has_endpoint(&home) {
+        if self.endpoints.serve(&home) {
             return home;
         }
-        self.room_elsewhere(&home).map_or(home, |(key, _)| key)
+        self.other_zone(&home).unwrap_or(home)
+    }
+
+    /// Returns the same pool of another zone that may be offered work.
+    fn other_zone(&self, pool: &PoolKey) -> Option<PoolKey> {
+        let now = self.clock.now();
+        self.endpoints.other_zones(pool).into_iter().find(|p| self.peers.may_spill_to(p, now))
+    }
+
+    /// Puts a request where its pool is scheduled: what waits is offered, what is
+    /// at an endpoint is told of.
+    fn place(&mut self, ticket: Ticket) {
+        let now = self.clock.now();
+        let Some(held) = self.held.get_mut(ticket) else { return };
+        held.place = match held.asker {
+            Asker::Caller(_) => self.peers.place(&held.pool, now),
+            // Never passed on, so that no request travels in circles.
+            Asker::Peer(..) => Place::Here,
+        };
+        match held.place.clone() {
+            Place::Here => self.place_here(ticket),
+            Place::At(name) => {
+                let offer = PeerOffer {
+                    ticket: ticket.0,
+                    pool: held.pool.pool.clone(),
+                    zone: held.pool.zone.clone(),
+                    descriptor: held.descriptor.clone(),
+                    patience_ms: held.descriptor.deadline - now,
+                    failed_at: held.failed_at.clone(),
+                };
+                let ask = match held.endpoint.clone() {
+                    Some(endpoint) => PeerAsk::Adopt(offer, endpoint),
+                    None => PeerAsk::Offer(offer),
+                };
+                self.peers.ask(&name, ask, &self.mailbox);
+            }
+        }
     }
 
-    fn has_endpoint(&self, pool: &PoolKey) -> bool {
-        self.endpoints.values().any(|e| e.pool == *pool && !e.spec.leaving)
+    fn place_here(&mut self, ticket: Ticket) {
+        let Some(held) = self.held.get(ticket) else { return };
+        let pool = held.pool.clone();
+        let mut descriptor = held.descriptor.clone();
+        let keys = held.failed_at.iter().filter_map(|name| self.endpoints.key(name));
+        descriptor.failed_at = keys.collect::<FailedAt>();
+        let endpoint = held.endpoint.as_ref().map(|name| self.endpoints.key(name));
+        let may_spill = !held.spilled && self.other_zone(&pool).is_some();
+        self.core(&pool);
+        match endpoint {
+            Some(Some(key)) => self.handle(&pool, Event::Adopt(ticket, key, descriptor)),
+            // The endpoint is not known here any more; nothing is left to count.
+            Some(None) => {}
+            None => {
+                let room = if may_spill { SPILL_ROOM } else { 0 };
+                self.handle(&pool, Event::NeighbourRoom(room));
+                self.handle(&pool, Event::Offer(ticket, descriptor));
+            }
+        }
     }
 
-    /// Returns the pool of another zone that can take the most requests.
-    fn room_elsewhere(&self, pool: &PoolKey) -> Option<(PoolKey, u32)> {
-        let others = self.cores.iter().filter(|(k, _)| k.pool == pool.pool && k.zone != pool.zone);
-        let rooms = others.filter(|(key, _)| self.has_endpoint(key)).map(|(key, core)| {
-            let counts = core.counts();
-            (key.clone(), counts.room.saturating_sub(counts.in_flight + counts.waiting))
+    fn withdraw(&mut self, ticket: Ticket) {
+        let Some(held) = self.held.remove(ticket) else { return };
+        match held.place {
+            Place::Here if held.endpoint.is_none() => {
+                self.handle(&held.pool, Event::Withdraw(ticket));
+            }
+            Place::Here => self.handle(&held.pool, Event::End(ticket, Ending::Cancelled)),
+            Place::At(name) => {
+                self.peers.ask(&name, PeerAsk::Withdraw(ticket.0), &self.mailbox);
+            }
+        }
+    }
+
+    fn first_token(&mut self, ticket: Ticket) {
+        let Some(held) = self.held.get(ticket) else { return };
+        match held.place.clone() {
+            Place::Here => {
+                let pool = held.pool.clone();
+                self.handle(&pool, Event::FirstToken(ticket));
+            }
+            Place::At(name) => {
+                self.peers.ask(&name, PeerAsk::FirstToken(ticket.0), &self.mailbox);
+            }
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, ending: Ending) {
+        let Some(held) = self.held.remove(ticket) else { return };
+        match held.place {
+            Place::Here => self.handle(&held.pool, Event::End(ticket, ending)),
+            Place::At(name) => {
+                self.peers.ask(&name, PeerAsk::End(ticket.0, ending), &self.mailbox);
+            }
+        }
+    }
+
+    /// Moves callers' requests whose pool is scheduled elsewhere now.
+    fn move_requests(&mut self) {
+        let now = self.clock.now();
+        let moved = self.held.find(|held| {
+            matches!(held.asker, Asker::Caller(_))
+                && held.place != self.peers.place(&held.pool, now)
         });
-        rooms.max_by_key(|(_, room)| *room)
+        for ticket in moved {
+            self.take_back(ticket);
+            self.place(ticket);
+        }
+    }
+
+    /// Takes a request out of its scheduler without an answer to who asked.
+    fn take_back(&mut self, ticket: Ticket) {
+        let Some(held) = self.held.get(ticket) else { return };
+        match (held.place.clone(), held.endpoint.is_some()) {
+            (Place::Here, false) => {
+                let pool = held.pool.clone();
+                self.handle(&pool, Event::Withdraw(ticket));
+            }
+            (Place::Here, true) => {
+                let pool = held.pool.clone();
+                self.handle(&pool, Event::End(ticket, Ending::Cancelled));
+            }
+            (Place::At(name), _) => {
+                self.peers.ask(&name, PeerAsk::Withdraw(ticket.0), &self.mailbox);
+            }
+        }
+    }
+
+    fn peer_down(&mut self, name: &str) {
+        if self.peers.went_down(name, self.clock.now()) {
+            log::warn!("event=scheduler_moved away_from={name}");
+            metrics::counter!("baobabvane_schedulers_lost_total").increment(1);
+        }
+        let place = Place::At(name.to_owned());
+        for ticket in self.held.find(|held| held.place == place) {
+            self.place(ticket);
+        }
+    }
+
+    fn from_peer(&mut self, name: &str, reply: PeerReply) {
+        match reply {
+            PeerReply::Granted { ticket, endpoint, first_token_ms, cached_tokens, why } => {
+                let ticket = Ticket(ticket);
+                if !self.is_waiting_at(ticket, name) || self.endpoints.key(&endpoint).is_none() {
+                    let ask = PeerAsk::End(ticket.0, Ending::Cancelled);
+                    return self.peers.ask(name, ask, &self.mailbox);
+                }
+                self.grant(ticket, &endpoint, first_token_ms, cached_tokens, why);
+            }
+            PeerReply::Refused { ticket, refusal, why } => {
+                if self.is_waiting_at(Ticket(ticket), name) {
+                    self.refuse(Ticket(ticket), refusal, why);
+                }
+            }
+            PeerReply::Spill { ticket, why } => {
+                if self.is_waiting_at(Ticket(ticket), name) {
+                    self.spill(Ticket(ticket), why);
+                }
+            }
+            PeerReply::Pong(_) => {}
+        }
+    }
+
+    /// Says whether an answer of another instance is still wanted.
+    fn is_waiting_at(&self, ticket: Ticket, name: &str) -> bool {
+        self.held
+            .get(ticket)
+            .is_some_and(|held| held.endpoint.is_none() && held.place == Place::At(name.to_owned()))
+    }
+
+    fn peer_ask(&mut self, conn: ConnId, ask: PeerAsk) {
+        match ask {
+            PeerAsk::Offer(offer) => self.peer_offer(conn, offer, None),
+            PeerAsk::Adopt(offer, endpoint) => self.peer_offer(conn, offer, Some(endpoint)),
+            PeerAsk::Withdraw(theirs) => {
+                if let Some(ticket) = self.held.of_peer(conn, theirs) {
+                    self.withdraw(ticket);
+                }
+            }
+            PeerAsk::FirstToken(theirs) => {
+                if let Some(ticket) = self.held.of_peer(conn, theirs) {
+                    self.first_token(ticket);
+                }
+            }
+            PeerAsk::End(theirs, ending) => {
+                if let Some(ticket) = self.held.of_peer(conn, theirs) {
+                    self.end(ticket, ending);
+                }
+            }
+            PeerAsk::Ping(_) => {}
+        }
+    }
+
+    fn peer_offer(&mut self, conn: ConnId, offer: PeerOffer, endpoint: Option<String>) {
+        let mut descriptor = offer.descriptor;
+        descriptor.deadline = self.clock.now() + offer.patience_ms;
+        let held = Held {
+            // Work of another zone is not handed on to a third.
+            spilled: offer.zone != self.zone,
+            pool: PoolKey { pool: offer.pool, zone: offer.zone },
+            descriptor,
+            failed_at: offer.failed_at,
+            place: Place::Here,
+            asker: Asker::Peer(conn, offer.ticket),
+            endpoint,
+        };
+        let ticket = self.held.insert_for_peer(conn, offer.ticket, held);
+        self.place(ticket);
+    }
+
+    fn conn_down(&mut self, conn: ConnId) {
+        self.peers.disconnected(conn);
+        let lost = self.held.find(|held| matches!(held.asker, Asker::Peer(c, _) if c == conn));
+        for ticket in lost {
+            self.withdraw(ticket);
+        }
     }
 
     fn core(&mut self, pool: &PoolKey) -> &mut Core {
@@ -267,56 +396,100 @@
         let Some(core) = self.cores.get_mut(pool) else { return };
         core.handle(now, event);
         while let Some(action) = self.cores.get_mut(pool).and_then(Core::next_action) {
-            self.perform(pool, action);
+            self.perform(action);
         }
     }
 
-    fn perform(&mut self, pool: &PoolKey, action: Action) {
+    fn perform(&mut self, action: Action) {
         match action {
-            Action::Dispatch(ticket, choice, why) => self.grant(ticket, choice, why),
-            Action::Refuse(ticket, refusal, why) => {
-                let Some(held) = self.held.remove(&ticket) else { return };
-                if let Some((_, reply)) = held.waiting {
-                    let _ = reply.send(Answer::Refused(refusal, why));
-                }
-            }
-            Action::Spill(ticket, why) => self.spill(pool, ticket, why),
+            Action::Dispatch(ticket, choice, why) => self.dispatch(ticket, choice, why),
+            Action::Refuse(ticket, refusal, why) => self.refuse(ticket, refusal, why),
+            Action::Spill(ticket, why) => self.spill(ticket, why),
         }
     }
 
-    fn grant(&mut self, ticket: Ticket, choice: Choice, why: Why) {
-        let Some(held) = self.held.get_mut(&ticket) else { return };
-        let Some((_, reply)) = held.waiting.take() else { return };
+    fn dispatch(&mut self, ticket: Ticket, choice: Choice, why: Why) {
         let Some(known) = self.endpoints.get(choice.endpoint) else { return };
-        let target = Rc::clone(&known.target);
-        let mailbox = self.mailbox.clone();
-        // A caller that went away drops the grant, which gives the slot back.
-        let grant = Grant { target, choice, why, ticket, mailbox, ended: false };
-        let _ = reply.send(Answer::Granted(grant));
+        let name = known.target.name.clone();
+        self.grant(ticket, &name, choice.first_token_ms, choice.cached_tokens, why);
+    }
+
+    fn grant(
+        &mut self,
+        ticket: Ticket,
+        endpoint: &str,
+        first_token_ms: f64,
+        cached_tokens: u32,
+        why: Why,
+    ) {
+        let target = self.endpoints.target(endpoint);
+        let Some(held) = self.held.get_mut(ticket) else { return };
+        held.endpoint = Some(endpoint.to_owned());
+        match &mut held.asker {
+            Asker::Caller(reply) => {
+                let (Some(reply), Some(target)) = (reply.take(), target) else { return };
+                let mailbox = self.mailbox.clone();
+                let grant = Grant {
+                    target,
+                    first_token_ms,
+                    cached_tokens,
+                    why,
+                    ticket,
+                    mailbox,
+                    ended: false,
+                };
+                // A caller that went away drops the grant, which gives the slot back.
+                let _ = reply.send(Answer::Granted(grant));
+            }
+            Asker::Peer(conn, theirs) => {
+                let (ticket, endpoint) = (*theirs, endpoint.to_owned());
+                let reply =
+                    PeerReply::Granted { ticket, endpoint, first_token_ms, cached_tokens, why };
+                self.peers.reply(*conn, reply);
+            }
+        }
     }
 
-    fn spill(&mut self, from: &PoolKey, ticket: Ticket, why: Why) {
-        let to = self.room_elsewhere(from);
-        let Some(held) = self.held.get_mut(&ticket) else { return };
-        let Some((descriptor, reply)) = held.waiting.take() else { return };
-        match to {
-            Some((to, room)) if room > 0 => {
-                held.waiting = Some((descriptor.clone(), reply));
-                held.pool = to.clone();
-                self.handle(&to, Event::Offer(ticket, descriptor));
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal, why: Why) {
+        let Some(held) = self.held.remove(ticket) else { return };
+        if held.spilled {
+            self.peers.refused_spill(&held.pool, self.clock.now());
+        }
+        match held.asker {
+            Asker::Caller(Some(reply)) => {
+                let _ = reply.send(Answer::Refused(refusal, why));
             }
-            _ => {
-                self.held.remove(&ticket);
-                let _ = reply.send(Answer::Refused(Refusal::Load, why));
+            Asker::Caller(None) => {}
+            Asker::Peer(conn, ticket) => {
+                self.peers.reply(conn, PeerReply::Refused { ticket, refusal, why });
             }
         }
     }
 
+    /// Offers a request to another zone; refuses it for load when none may take it.
+    fn spill(&mut self, ticket: Ticket, why: Why) {
+        let Some(held) = self.held.get(ticket) else { return };
+        if let Asker::Peer(conn, theirs) = held.asker {
+            self.held.remove(ticket);
+            return self.peers.reply(conn, PeerReply::Spill { ticket: theirs, why });
+        }
+        let to = self.other_zone(&held.pool).filter(|_| !held.spilled);
+        let Some(to) = to else { return self.refuse(ticket, Refusal::Load, why) };
+        metrics::counter!("baobabvane_spilled_total").increment(1);
+        if let Some(held) = self.held.get_mut(ticket) {
+            held.pool = to;
+            held.spilled = true;
+        }
+        self.place(ticket);
+    }
+
     fn configure(&mut self, catalog: &Catalog) {
         self.set_tiers(catalog);
-        self.remove_gone(catalog);
+        for (key, pool) in self.endpoints.remove_gone(catalog) {
+            self.handle(&pool, Event::EndpointGone(key));
+        }
         for (name, spec) in catalog.endpoints() {
-            self.place(name, spec);
+            self.put_endpoint(name, spec);
         }
     }
 
@@ -332,72 +505,37 @@
         self.tiers = tiers;
     }
 
-    fn remove_gone(&mut self, catalog: &Catalog) {
-        let same = |name: &str, known: &Endpoint| {
-            catalog.endpoints().any(|(n, e)| {
-                n == name
-                    && e.address == known.address
-                    && e.pool == known.pool
-                    && e.zone == known.zone
-            })
-        };
-        let gone: Vec<EndpointKey> = self
-            .endpoints
-            .iter()
-            .filter(|(_, known)| !same(&known.target.name, &known.spec))
-            .map(|(key, _)| key)
-            .collect();
-        for key in gone {
-            let Some(known) = self.endpoints.remove(key) else { continue };
-            self.by_name.remove(&known.target.name);
-            self.handle(&known.pool, Event::EndpointGone(key));
-            log::info!("event=endpoint_gone endpoint={}", known.target.name);
-        }
-    }
-
-    fn place(&mut self, name: &str, spec: &Endpoint) {
+    fn put_endpoint(&mut self, name: &str, spec: &Endpoint) {
+        let key = self.endpoints.put(name, spec);
         let pool = PoolKey { pool: spec.pool.clone(), zone: spec.zone.clone() };
         self.core(&pool);
-        let key = match self.by_name.get(name) {
-            Some(key) => *key,
-            None => self.add(name, spec, &pool),
-        };
-        let Some(known) = self.endpoints.get_mut(key) else { return };
-        let left = spec.leaving && !known.spec.leaving;
-        known.spec = spec.clone();
-        if left {
-            log::info!("event=endpoint_leaving endpoint={name}");
-        }
-        let core_spec =
-            EndpointSpec { slots: spec.slots, cache_blocks: spec.cache_tokens / BLOCK_TOKENS };
+        let cache_blocks = spec.cache_tokens / BLOCK_TOKENS;
+        let core_spec = EndpointSpec { slots: spec.slots, cache_blocks };
         self.handle(&pool, Event::EndpointJoined(key, core_spec));
         if spec.leaving {
             self.handle(&pool, Event::EndpointLeaving(key));
         }
     }
 
-    fn add(&mut self, name: &str, spec: &Endpoint, pool: &PoolKey) -> EndpointKey {
-        let link = Link::spawn(spec.address, self.connect_timeout);
-        let target = Rc::new(Target { name: name.to_owned(), link });
-        let known = Known { spec: spec.clone(), pool: pool.clone(), target };
-        let key = self.endpoints.insert(known);
-        self.by_name.insert(name.to_owned(), key);
-        log::info!("event=endpoint_joined endpoint={name} pool={} zone={}", pool.pool, pool.zone);
-        key
-    }
-
     fn tick(&mut self) {
         let pools: Vec<PoolKey> = self.cores.keys().cloned().collect();
         for pool in pools {
             self.handle(&pool, Event::Tick);
         }
+        // An instance that was avoided may be asked again.
+        self.move_requests();
     }
 
     fn status(&self) -> Vec<PoolStatus> {
+        let now = self.clock.now();
         let status = |(key, core): (&PoolKey, &Core)| PoolStatus {
             zone: key.zone.clone(),
             pool: key.pool.clone(),
-            endpoints: self.endpoints.values().filter(|e| e.pool == *key).count(),
+            scheduler: match self.peers.place(key, now) {
+                Place::Here => self.name.clone(),
+                Place::At(name) => name,
+            },
+            endpoints: self.endpoints.count(key),
             counts: core.counts(),
         };
         self.cores.iter().map(status).collect()
--- /dev/null
+++ b/crates/entry/src/tasks/scheduler/endpoints.rs
@@ -0,0 +1,110 @@
+//! The endpoints that the configuration names, with the ways to them.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use baobabvane_decide::EndpointKey;
+use baobabvane_domain::{Catalog, Endpoint};
+use slotmap::SlotMap;
+
+use crate::{
+    link::Link,
+    tasks::scheduler::{grant::Target, held::PoolKey},
+};
+
+/// An endpoint.
+pub(super) struct Known {
+    pub(super) spec: Endpoint,
+    pub(super) pool: PoolKey,
+    pub(super) target: Rc<Target>,
+}
+
+/// All endpoints, in an arena.
+pub(super) struct Endpoints {
+    connect_timeout: Duration,
+    arena: SlotMap<EndpointKey, Known>,
+    by_name: HashMap<String, EndpointKey>,
+}
+
+impl Endpoints {
+    pub(super) fn new(connect_timeout: Duration) -> Self {
+        Self { connect_timeout, arena: SlotMap::with_key(), by_name: HashMap::new() }
+    }
+
+    pub(super) fn get(&self, key: EndpointKey) -> Option<&Known> {
+        self.arena.get(key)
+    }
+
+    pub(super) fn key(&self, name: &str) -> Option<EndpointKey> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(super) fn target(&self, name: &str) -> Option<Rc<Target>> {
+        Some(Rc::clone(&self.arena.get(self.key(name)?)?.target))
+    }
+
+    /// Says whether a pool has an endpoint that may receive work.
+    pub(super) fn serve(&self, pool: &PoolKey) -> bool {
+        self.arena.values().any(|e| e.pool == *pool && !e.spec.leaving)
+    }
+
+    pub(super) fn count(&self, pool: &PoolKey) -> usize {
+        self.arena.values().filter(|e| e.pool == *pool).count()
+    }
+
+    /// Lists the zones other than `pool`'s that serve the same model or service.
+    pub(super) fn other_zones(&self, pool: &PoolKey) -> Vec<PoolKey> {
+        let others = self
+            .arena
+            .values()
+            .filter(|e| e.pool.pool == pool.pool && e.pool.zone != pool.zone && !e.spec.leaving);
+        let mut zones: Vec<PoolKey> = others.map(|e| e.pool.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+
+    /// Takes out the endpoints that the configuration no longer names, or names
+    /// with another address or pool.
+    pub(super) fn remove_gone(&mut self, catalog: &Catalog) -> Vec<(EndpointKey, PoolKey)> {
+        let same = |known: &Known| {
+            catalog.endpoints().any(|(name, spec)| {
+                name == known.target.name
+                    && spec.address == known.spec.address
+                    && spec.pool == known.spec.pool
+                    && spec.zone == known.spec.zone
+            })
+        };
+        let gone: Vec<EndpointKey> =
+            self.arena.iter().filter(|(_, known)| !same(known)).map(|(key, _)| key).collect();
+        let mut removed = Vec::new();
+        for key in gone {
+            let Some(known) = self.arena.remove(key) else { continue };
+            self.by_name.remove(&known.target.name);
+            log::info!("event=endpoint_gone endpoint={}", known.target.name);
+            removed.push((key, known.pool));
+        }
+        removed
+    }
+
+    /// Adds an endpoint or changes its spec.
+    pub(super) fn put(&mut self, name: &str, spec: &Endpoint) -> EndpointKey {
+        let Some(key) = self.key(name) else { return self.add(name, spec) };
+        if let Some(known) = self.arena.get_mut(key) {
+            if spec.leaving && !known.spec.leaving {
+                log::info!("event=endpoint_leaving endpoint={name}");
+            }
+            known.spec = spec.clone();
+        }
+        key
+    }
+
+    fn add(&mut self, name: &str, spec: &Endpoint) -> EndpointKey {
+        let link = Link::spawn(spec.address, self.connect_timeout);
+        let target = Rc::new(Target { name: name.to_owned(), link });
+        let pool = PoolKey { pool: spec.pool.clone(), zone: spec.zone.clone() };
+        log::info!("event=endpoint_joined endpoint={name} pool={} zone={}", pool.pool, pool.zone);
+        let key = self.arena.insert(Known { spec: spec.clone(), pool, target });
+        self.by_name.insert(name.to_owned(), key);
+        key
+    }
+}
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -32,37 +32,18 @@
     orgs_by_key_hash: HashMap<String, Rc<OrgView>>,
 }
 
-/// Numbers names; a name keeps its number while the process runs.
-#[derive(Debug, Default)]
-pub(crate) struct Names {
-    numbers: HashMap<String, u32>,
-}
-
-impl Names {
-    fn number(&mut self, name: &str) -> u32 {
-        let next = self.numbers.len() as u32;
-        *self.numbers.entry(name.to_owned()).or_insert(next)
-    }
-}
-
-/// The numbers that the views of this process have given.
-#[derive(Debug, Default)]
-pub(crate) struct ViewMaker {
-    orgs: Names,
-    kinds: Names,
-}
-
-impl ViewMaker {
-    pub(crate) fn make(&mut self, catalog: &Catalog, version: u64) -> View {
-        let mut view = View { catalog: catalog.clone(), version, ..View::default() };
+impl View {
+    /// Makes the view of a configuration.
+    pub(crate) fn new(catalog: &Catalog, version: u64) -> Self {
+        let mut view = Self { catalog: catalog.clone(), version, ..Self::default() };
         for (name, kind) in catalog.kinds() {
             let Some(tier) = catalog.tier(&kind.tier) else { continue };
-            let id = KindId(self.kinds.number(name) as u16);
+            let id = KindId(hash_name(name) as u32);
             let kind = KindView { id, name: name.to_owned(), rank: tier.rank, spec: kind.clone() };
             view.kinds.insert(name.to_owned(), Rc::new(kind));
         }
         for (name, org) in catalog.organisations() {
-            let id = OrgId(self.orgs.number(name));
+            let id = OrgId(hash_name(name));
             let shared = Rc::new(OrgView { id, name: name.to_owned(), weight: org.weight });
             for hash in &org.key_hashes {
                 view.orgs_by_key_hash.insert(hash.clone(), Rc::clone(&shared));
@@ -70,9 +51,7 @@
         }
         view
     }
-}
 
-impl View {
     pub(crate) fn organisation_by_key(&self, api_key: &str) -> Option<Rc<OrgView>> {
         self.orgs_by_key_hash.get(&baobabvane_domain::hash_api_key(api_key)).cloned()
     }
@@ -98,6 +77,12 @@
     }
 }
 
+/// Numbers a name alike in all instances, so that their schedulers can be asked by any.
+fn hash_name(name: &str) -> u64 {
+    let hash = blake3::hash(name.as_bytes());
+    u64::from_le_bytes(*hash.as_bytes().first_chunk().expect("a hash has 32 bytes"))
+}
+
 /// The newest view; clones see the same one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Published {
--- a/crates/entry/tests/testsuite/fleet.rs
+++ b/crates/entry/tests/testsuite/fleet.rs
@@ -1,8 +1,13 @@
 //! The fluent helper that starts instances and stand-ins on free ports.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
-
-use baobabvane::{Embedded, Operator, Settings};
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    time::Duration,
+};
+
+use baobabvane::{Embedded, Operator, Peer, Settings};
 use baobabvane_domain::{Endpoint, Spec};
 use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service};
 use baobabvanectl::{Manifest, OperatorClient};
@@ -21,6 +26,13 @@
     pub(crate) instances: BTreeMap<String, Embedded>,
 }
 
+/// Returns addresses that were free a moment ago.
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
+    listeners.iter().map(|l| l.local_addr().expect("a bound socket has an address")).collect()
+}
+
 /// Runs a future on the epoll driver.
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
@@ -76,6 +88,42 @@
         self
     }
 
+    /// Starts instances that know each other, as `(name, zone)`.
+    pub(crate) fn instances(mut self, members: &[(&str, &str)]) -> Self {
+        let addresses = free_addresses(members.len());
+        let peer = |(name, zone): &(&str, &str), address| Peer {
+            name: (*name).to_owned(),
+            zone: (*zone).to_owned(),
+            address,
+        };
+        let all: Vec<Peer> =
+            members.iter().zip(&addresses).map(|(member, a)| peer(member, *a)).collect();
+        for (n, (name, zone)) in members.iter().enumerate() {
+            let others = all.iter().enumerate().filter(|(m, _)| *m != n).map(|(_, p)| p.clone());
+            self = self.instance_with(name, zone, |settings| {
+                settings.peer_listen = Some(addresses[n]);
+                settings.peer_secret = "test-peer-secret".to_owned();
+                settings.peers = others.collect();
+            });
+        }
+        self.wait_for_members(members.len());
+        self
+    }
+
+    /// Waits until every instance knows that so many are alive.
+    pub(crate) fn wait_for_members(&self, count: usize) {
+        block_on(async {
+            for name in self.instances.keys() {
+                let client = self.operator(name);
+                wait_until(|| async {
+                    let status = client.get("/v1/status").await.unwrap_or_default();
+                    status["members"]["live"].as_array().is_some_and(|l| l.len() == count)
+                })
+                .await;
+            }
+        });
+    }
+
     /// Applies a file of the scenarios' folder through an instance, and waits
     /// until every instance has it in force.
     pub(crate) fn apply(self, file: &str, through: &str) -> Self {
--- a/crates/entry/tests/testsuite/main.rs
+++ b/crates/entry/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod hostile;
+mod many;
 mod process;
 mod serving;
 mod session;
--- /dev/null
+++ b/crates/entry/tests/testsuite/many.rs
@@ -0,0 +1,131 @@
+//! Several instances that know each other act as one.
+
+use std::{cell::Cell, time::Duration};
+
+use futures::future::join_all;
+use monoio::time::sleep;
+use serde_json::Value;
+
+use crate::fleet::{Fleet, block_on, chat, wait_until};
+
+const ZONE_A: [(&str, &str); 3] =
+    [("entry-a1", "zone-a"), ("entry-a2", "zone-a"), ("entry-a3", "zone-a")];
+
+fn zone() -> Fleet {
+    Fleet::new()
+        .engine("advice-1", 0, 1_000)
+        .service("bookings")
+        .instances(&ZONE_A)
+        .apply("basic.toml", "entry-a1")
+}
+
+async fn status(fleet: &Fleet, instance: &str) -> Value {
+    fleet.operator(instance).get("/v1/status").await.unwrap_or_default()
+}
+
+async fn scheduler_of(fleet: &Fleet, instance: &str, pool: &str) -> String {
+    let status = status(fleet, instance).await;
+    let pools = status["pools"].as_array().cloned().unwrap_or_default();
+    let found = pools.iter().find(|p| p["pool"] == pool && p["zone"] == "zone-a");
+    found.and_then(|p| p["scheduler"].as_str()).unwrap_or_default().to_owned()
+}
+
+#[test]
+fn a_pool_has_one_scheduler_that_keeps_an_endpoint_within_its_slots() {
+    let fleet = zone();
+    block_on(async {
+        let first = scheduler_of(&fleet, "entry-a1", "advice").await;
+        for (name, _) in ZONE_A {
+            assert_eq!(scheduler_of(&fleet, name, "advice").await, first);
+        }
+        let calls = (0..60).map(|n| {
+            let caller = fleet.caller(ZONE_A[n % 3].0);
+            async move {
+                let body = chat("quote", &format!("awning {n:02}"), 10, n % 2 == 0);
+                caller.post("/v1/chat/completions", &body).await.expect("an answer")
+            }
+        });
+        for answer in join_all(calls).await {
+            assert_eq!(answer.status, 200, "{:?}", answer.body);
+        }
+        assert_eq!(fleet.engines["advice-1"].most_running(), 4, "the endpoint has 4 slots");
+    });
+}
+
+#[test]
+fn a_scheduler_that_stops_loses_no_request_of_others() {
+    let mut fleet = zone();
+    let first = block_on(scheduler_of(&fleet, "entry-a1", "advice"));
+    let stopping = fleet.instances.remove(&first).expect("it is one of the fleet");
+    block_on(async {
+        let others: Vec<_> = fleet.instances.keys().map(|name| fleet.caller(name)).collect();
+        let answered = Cell::new(0);
+        let calls = (0..80).map(|n| {
+            let (caller, answered) = (others[n % 2].clone(), &answered);
+            async move {
+                sleep(Duration::from_millis(n as u64 * 10)).await;
+                let body = chat("quote", &format!("awning {n:02}"), 20, true);
+                let answer = caller.post("/v1/chat/completions", &body).await;
+                let answer = answer.expect("a whole answer");
+                assert_eq!(answer.status, 200, "{:?}", answer.body);
+                answered.set(answered.get() + 1);
+            }
+        });
+        let stop = async {
+            wait_until(|| async { answered.get() > 10 }).await;
+            stopping.begin_stop();
+        };
+        futures::join!(join_all(calls), stop);
+        for name in fleet.instances.keys() {
+            wait_until(|| async { scheduler_of(&fleet, name, "advice").await != first }).await;
+        }
+    });
+}
+
+#[test]
+fn a_change_is_accepted_once_every_zone_has_it_in_force() {
+    let members = [
+        ("entry-a1", "zone-a"),
+        ("entry-b1", "zone-b"),
+        ("entry-c1", "zone-c"),
+        ("entry-d1", "zone-d"),
+    ];
+    let fleet = Fleet::new().instances(&members).apply("basic.toml", "entry-b1");
+    block_on(async {
+        let client = fleet.operator("entry-c1");
+        let name = baobabvane_domain::ResourceName {
+            type_: baobabvane_domain::ResourceType::Tier,
+            name: "batch".to_owned(),
+        };
+        let spec =
+            baobabvane_domain::Spec::Tier(baobabvane_domain::Tier { rank: 9, floor_percent: 1 });
+        let answer = client.put(&name, &spec, Some(0)).await.expect("the change is valid");
+        assert_eq!(answer["state"], "accepted", "{answer}");
+        for (member, _) in members {
+            let read = fleet.operator(member).get("/v1/tiers/batch").await.expect("in force");
+            assert_eq!(read["version"], answer["version"]);
+        }
+    });
+}
+
+#[test]
+fn a_zone_without_endpoints_uses_another_zones_scheduler() {
+    let members = [("entry-a1", "zone-a"), ("entry-a2", "zone-a"), ("entry-b1", "zone-b")];
+    let fleet = Fleet::new()
+        .engine("advice-1", 0, 1_000)
+        .instances(&members)
+        .apply("basic.toml", "entry-b1");
+    block_on(async {
+        let calls = (0..30).map(|n| {
+            let caller = fleet.caller(members[n % 3].0);
+            async move {
+                let body = chat("quote", &format!("awning {n:02}"), 10, false);
+                caller.post("/v1/chat/completions", &body).await.expect("an answer")
+            }
+        });
+        for answer in join_all(calls).await {
+            assert_eq!(answer.status, 200, "{:?}", answer.body);
+        }
+        assert_eq!(fleet.engines["advice-1"].most_running(), 4, "the endpoint has 4 slots");
+    });
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,6 +11,8 @@
 pub enum Stream {
     /// Changes of the configuration and what became of them.
     Config,
+    /// How far instances have applied the configuration.
+    Progress,
     /// Claims and outcomes of non-idempotent requests.
     Claims,
 }
@@ -20,6 +22,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Config => "config",
+            Self::Progress => "progress",
             Self::Claims => "claims",
         }
     }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -117,15 +117,23 @@
         for entry in entries {
             match entry {
                 Entry::Change(change) => self.take_change(offset, change),
-                Entry::InForce(in_force) => self.apply_in_force(in_force),
                 Entry::Event(event) => self.apply_event(offset, event),
                 Entry::Snapshot(snapshot) => self.apply_snapshot(offset, snapshot),
-                Entry::Claim(_) | Entry::Outcome(_) => {}
+                Entry::InForce(_) | Entry::Claim(_) | Entry::Outcome(_) => {}
             }
         }
         Applied { changed: before != self.changed_at || snapshot_before != self.snapshot_at }
     }
 
+    /// Applies entries of the progress stream; of an instance the last one counts.
+    pub fn apply_progress(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            if let Entry::InForce(in_force) = entry {
+                self.apply_in_force(in_force);
+            }
+        }
+    }
+
     fn take_change(&mut self, offset: u64, change: &Change) {
         match &mut self.held {
             Some(held) => held.push((offset, change.clone())),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -50,6 +50,8 @@
     started: HashMap<String, u32>,
     finished: u32,
     cancelled: u32,
+    running: u32,
+    most_running: u32,
 }
 
 impl Engine {
@@ -91,6 +93,11 @@
         self.shared.lock().expect("no holder panics").finished
     }
 
+    /// Returns how many requests were in the engine at once at the most.
+    pub fn most_running(&self) -> u32 {
+        self.shared.lock().expect("no holder panics").most_running
+    }
+
     /// Returns how many answers were cut off because the connection was closed.
     pub fn cancelled(&self) -> u32 {
         self.shared.lock().expect("no holder panics").cancelled
@@ -118,15 +125,10 @@
             .and_then(|m| m["content"].as_str())
             .unwrap_or_default();
         let subject: String = text.chars().take(32).collect();
-        *self
-            .shared
-            .lock()
-            .expect("no holder panics")
-            .started
-            .entry(subject.clone())
-            .or_default() += 1;
+        self.begin(&subject);
         if faults.hang {
             conn.closed().await;
+            self.end(false);
             return false;
         }
         let tokens = body["max_tokens"].as_u64().unwrap_or(16) as u32;
@@ -137,16 +139,28 @@
         } else {
             self.whole(conn, &subject, tokens).await
         };
+        self.end(done);
+        done
+    }
+}
+
+impl EngineHandler {
+    fn begin(&self, subject: &str) {
         let mut shared = self.shared.lock().expect("no holder panics");
+        *shared.started.entry(subject.to_owned()).or_default() += 1;
+        shared.running += 1;
+        shared.most_running = shared.most_running.max(shared.running);
+    }
+
+    fn end(&self, done: bool) {
+        let mut shared = self.shared.lock().expect("no holder panics");
+        shared.running -= 1;
         match done {
             true => shared.finished += 1,
             false => shared.cancelled += 1,
         }
-        done
     }
-}
 
-impl EngineHandler {
     /// Reads prompts one after the other, as engines do.
     async fn read_prompt(&self, tokens: u64) {
         let start = self.prefill_free_at.get().max(Instant::now());
