--- a/crates/decide/examples/decisions/main.rs
+++ b/crates/decide/examples/decisions/main.rs
@@ -26,7 +26,6 @@
         ("owner", Policy::baseline(Placement::Owner)),
         ("no-fair-share", Policy { fair_share: false, ..d() }),
         ("no-floors", Policy { floors: false, ..d() }),
-        ("no-headroom", Policy { headroom: false, ..d() }),
         ("no-room-for-short", Policy { room_for_short: false, ..d() }),
         ("no-adaptive-limit", Policy { adaptive_limit: false, ..d() }),
         ("no-breaker", Policy { breaker: false, ..d() }),
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -31,11 +31,6 @@
 const FLOOR_WINDOW_MS: Millis = 5_000.0;
 /// What little use of the pool says of its capacity under load.
 const IDLE_CAPACITY_SHARE: f64 = 0.5;
-/// Time over which the slots that more urgent work uses are averaged.
-const DEMAND_WINDOW_MS: Millis = 5_000.0;
-const HEADROOM_FACTOR: f64 = 1.3;
-const HEADROOM_SLOTS: f64 = 1.0;
-
 /// Numbers for metrics and status.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
@@ -64,35 +59,6 @@
     sent: Sent,
 }
 
-/// How many slots a tier uses, averaged over time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Demand {
-    now: u32,
-    mean: f64,
-    at: Millis,
-}
-
-impl Demand {
-    fn change(&mut self, now: Millis, difference: i32) {
-        self.settle(now);
-        self.now = self.now.saturating_add_signed(difference);
-    }
-
-    fn settle(&mut self, now: Millis) {
-        let step = 1.0 - (-(now - self.at).max(0.0) / DEMAND_WINDOW_MS).exp();
-        self.mean += (f64::from(self.now) - self.mean) * step;
-        self.at = now;
-    }
-
-    /// Returns how many more slots should stay free for the tier.
-    fn unused(&self) -> f64 {
-        if self.mean < 0.01 {
-            return 0.0;
-        }
-        (self.mean * HEADROOM_FACTOR + HEADROOM_SLOTS - f64::from(self.now)).max(0.0)
-    }
-}
-
 /// Decides for one pool; see the crate's documentation.
 #[derive(Debug)]
 pub struct Core {
@@ -113,7 +79,6 @@
     cost_per_slot_ms: Average,
     dispatched: Rate,
     dispatched_by_tier: Vec<Rate>,
-    demand: Vec<Demand>,
     neighbour_room: u32,
     actions: VecDeque<Action>,
 }
@@ -138,7 +103,6 @@
             cost_per_slot_ms: Average::new(1.0, 0.02),
             dispatched: Rate::new(CAPACITY_WINDOW_MS),
             dispatched_by_tier: Vec::new(),
-            demand: Vec::new(),
             neighbour_room: 0,
             actions: VecDeque::new(),
             policy,
@@ -274,26 +238,18 @@
         if self.slots() <= in_flight {
             return false;
         }
-        for (rank, by_floor) in self.turns() {
-            if !by_floor && !self.has_headroom(rank, in_flight) {
-                continue;
-            }
-            if self.dispatch_from(rank) {
-                return true;
-            }
-        }
-        false
+        self.turns().into_iter().any(|rank| self.dispatch_from(rank))
     }
 
     /// Lists the tiers in the order of their turns, those below their floor first.
-    fn turns(&self) -> SmallVec<[(Rank, bool); 8]> {
+    fn turns(&self) -> SmallVec<[Rank; 16]> {
         let mut turns = SmallVec::new();
         let ranks: SmallVec<[Rank; 8]> = self.queue.ranks().collect();
         if self.policy.floors {
             let starved = ranks.iter().skip(1).filter(|r| self.is_starved(**r));
-            turns.extend(starved.map(|r| (*r, true)));
+            turns.extend(starved.copied());
         }
-        turns.extend(ranks.iter().map(|r| (*r, false)));
+        turns.extend(ranks);
         turns
     }
 
@@ -304,18 +260,6 @@
         own < all * self.policy.floor(rank)
     }
 
-    /// Says whether slots are left beside those that more urgent tiers will need.
-    fn has_headroom(&self, rank: Rank, in_flight: u32) -> bool {
-        if !self.policy.headroom || rank == 0 {
-            return true;
-        }
-        let above = usize::from(rank).min(self.demand.len());
-        let kept: f64 = self.demand[..above].iter().map(Demand::unused).sum();
-        // One slot in two stays usable, so that a small pool is never blocked.
-        let kept = kept.min(f64::from(self.slots()) / 2.0);
-        f64::from(in_flight) + kept < f64::from(self.slots())
-    }
-
     fn dispatch_from(&mut self, rank: Rank) -> bool {
         self.queue.heads(rank).into_iter().any(|ticket| self.dispatch_ticket(ticket))
     }
@@ -370,7 +314,6 @@
         let now = self.now;
         self.dispatched.add(now, cost);
         self.tier_rate(req.rank).add(now, cost);
-        self.tier_demand(req.rank).change(now, 1);
         if req.failed_at.is_empty() {
             self.budget.earn();
         }
@@ -401,8 +344,6 @@
             deadline: req.deadline,
         };
         let sent = endpoint.send(self.now, &order);
-        let now = self.now;
-        self.tier_demand(req.rank).change(now, 1);
         let flight = Flight {
             endpoint: key,
             rank: req.rank,
@@ -493,7 +434,6 @@
     fn end(&mut self, ticket: Ticket, ending: Ending) {
         let Some(mut flight) = self.flights.remove(&ticket) else { return };
         let now = self.now;
-        self.tier_demand(flight.rank).change(now, -1);
         if let Some(block) = flight.reading.take() {
             self.prefixes.end_reading(flight.endpoint, block);
         }
@@ -571,9 +511,6 @@
     fn tick(&mut self) {
         let floor = self.policy.tiers.iter().map(|t| t.floor).fold(0.0, f64::max);
         self.room.review(self.now, &self.endpoints, floor);
-        for demand in &mut self.demand {
-            demand.settle(self.now);
-        }
         for flight in self.flights.values_mut() {
             if let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) {
                 endpoint.presume_read(self.now, &mut flight.sent);
@@ -595,14 +532,6 @@
         }
         &mut self.dispatched_by_tier[index]
     }
-
-    fn tier_demand(&mut self, rank: Rank) -> &mut Demand {
-        let index = usize::from(rank);
-        if self.demand.len() <= index {
-            self.demand.resize(index + 1, Demand::default());
-        }
-        &mut self.demand[index]
-    }
 }
 
 impl Policy {
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -49,8 +49,6 @@
     pub fair_share: bool,
     /// Whether less urgent tiers keep their floor.
     pub floors: bool,
-    /// Whether slots are kept for more urgent work.
-    pub headroom: bool,
     /// Whether long work is kept off some endpoints.
     pub room_for_short: bool,
     /// Whether in-flight limits adapt.
@@ -87,7 +85,6 @@
             queueing: true,
             fair_share: true,
             floors: true,
-            headroom: true,
             room_for_short: true,
             adaptive_limit: true,
             breaker: true,
--- a/crates/entry/examples/faults.rs
+++ b/crates/entry/examples/faults.rs
@@ -4,19 +4,12 @@
 //!
 //! With `--features without-claims` on both commands it must find doubles.
 
-use std::{
-    collections::HashMap,
-    env,
-    io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
-    process::{Child, Command, ExitCode, Stdio},
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, process::ExitCode, time::Duration};
 
 use baobabvane_domain::Uuid;
 use baobabvane_standin::{
-    Caller, Engine, EngineFaults, EngineSpeed, LogFaults, LogService, Received, Service,
-    ServiceFaults,
+    Caller, Engine, EngineFaults, EngineSpeed, LogFaults, LogService, Process, Received, Service,
+    ServiceFaults, free_addresses,
 };
 use baobabvanectl::{Manifest, OperatorClient, Table};
 use clap::{Arg, value_parser};
@@ -37,61 +30,29 @@
 /// How often a caller repeats a request without a final answer.
 const MAX_REPEATS: usize = 40;
 
-/// A process of the release binary.
+/// An instance that is started again after it has ended.
 struct Instance {
     name: String,
     zone: &'static str,
-    listen: [SocketAddr; 3],
+    callers: SocketAddr,
+    operators: SocketAddr,
     args: Vec<String>,
-    child: Option<Child>,
+    process: Process,
 }
 
 impl Instance {
-    fn start(&mut self) {
-        let examples = env::current_exe().expect("the example has a path");
-        let binary = examples.ancestors().nth(2).expect("a target folder").join("baobabvane");
-        let log = env::var("FAULTS_LOG").unwrap_or_else(|_| "error".to_owned());
-        let mut child = Command::new(binary)
-            .arg("serve")
-            .args(&self.args)
-            .env("RUST_LOG", log)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the release binary was built");
-        let mut line = String::new();
-        let stdout = child.stdout.take().expect("stdout is piped");
-        BufReader::new(stdout).read_line(&mut line).expect("the binary prints its addresses");
-        self.child = Some(child);
-    }
-
-    fn signal(&self, name: &str) {
-        let Some(child) = &self.child else { return };
-        let status =
-            Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
-        assert!(status.is_ok_and(|s| s.success()), "the process is ours and runs");
+    fn new(name: String, zone: &'static str, args: Vec<String>) -> Self {
+        let process = Process::spawn(&Process::binary_of_example(), &args);
+        let (callers, operators) = (process.callers(), process.operators());
+        Self { name, zone, callers, operators, args, process }
     }
 
-    /// Waits for the process; true when it ended with success.
-    fn wait(&mut self) -> bool {
-        self.child.take().and_then(|mut c| c.wait().ok()).is_some_and(|s| s.success())
+    fn restart(&mut self) {
+        self.process.wait();
+        self.process = Process::spawn(&Process::binary_of_example(), &self.args);
     }
 }
 
-impl Drop for Instance {
-    fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    listeners.iter().map(|l| l.local_addr().expect("a bound socket has an address")).collect()
-}
-
 /// What goes wrong in a round.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -200,10 +161,9 @@
                 ("--operator-tokens", format!("ann={TOKEN}")),
             ];
             let args = flags.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]);
-            Instance { name: format!("entry-{n}"), zone, listen, args: args.collect(), child: None }
+            Instance::new(format!("entry-{n}"), zone, args.collect())
         };
-        let mut instances: Vec<Instance> = (0..INSTANCES).map(instance).collect();
-        instances.iter_mut().for_each(Instance::start);
+        let instances: Vec<Instance> = (0..INSTANCES).map(instance).collect();
         Self {
             log,
             engine: Engine::spawn(EngineSpeed { prefill_us: 0, decode_us: 1_000 }),
@@ -216,7 +176,7 @@
     async fn configure(&self) {
         let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/basic.toml");
         let manifest = Manifest::load(file.as_ref()).expect("the file is valid");
-        let client = OperatorClient::new(self.instances[0].listen[1], TOKEN).expect("ASCII");
+        let client = OperatorClient::new(self.instances[0].operators, TOKEN).expect("ASCII");
         while client.get("/v1/tiers").await.is_err() {
             sleep(Duration::from_millis(10)).await;
         }
@@ -236,14 +196,14 @@
     }
 
     async fn wait_ready(&self, n: usize) {
-        let client = OperatorClient::new(self.instances[n].listen[1], TOKEN).expect("ASCII");
+        let client = OperatorClient::new(self.instances[n].operators, TOKEN).expect("ASCII");
         while client.get("/v1/endpoints/bookings").await.is_err() {
             sleep(Duration::from_millis(5)).await;
         }
     }
 
     fn caller(&self, n: usize) -> Caller {
-        Caller::new(self.instances[n].listen[0], KEY)
+        Caller::new(self.instances[n].callers, KEY)
     }
 
     async fn round(&mut self, rng: &mut SmallRng) {
@@ -260,14 +220,14 @@
             .collect();
         let fault_at = Duration::from_millis(rng.random_range(0..25));
         let heal_after = Duration::from_millis(rng.random_range(20..120));
-        let (bookings, quotes, stops) = {
+        let (bookings, quotes) = {
             let world = &*self;
             let bookings = join_all(bookings.into_iter().map(|(d, homes)| world.book(d, homes)));
             let quotes = join_all(quotes.iter().map(|(home, delay)| world.quote(*home, *delay)));
             let inject = world.inject(faults, fault_at, heal_after);
-            futures::join!(bookings, quotes, inject)
+            let (bookings, quotes, ()) = futures::join!(bookings, quotes, inject);
+            (bookings, quotes)
         };
-        let _ = stops;
         self.restart_dead().await;
         self.judge(bookings, quotes, faults);
     }
@@ -318,10 +278,10 @@
         for fault in faults {
             match fault {
                 Fault::None => {}
-                Fault::Kill(n) => self.instances[n].signal("KILL"),
-                Fault::Stop(n) => self.instances[n].signal("TERM"),
+                Fault::Kill(n) => self.instances[n].process.signal("KILL"),
+                Fault::Stop(n) => self.instances[n].process.signal("TERM"),
                 Fault::Pause(n, ms) => {
-                    self.instances[n].signal("STOP");
+                    self.instances[n].process.signal("STOP");
                     pauses.push((n, ms));
                 }
                 Fault::LogDown => {
@@ -367,17 +327,15 @@
         self.engine.set_faults(EngineFaults::default());
         for (n, ms) in pauses {
             sleep(Duration::from_millis(ms)).await;
-            self.instances[n].signal("CONT");
+            self.instances[n].process.signal("CONT");
         }
     }
 
     async fn restart_dead(&mut self) {
         for n in 0..INSTANCES {
             let instance = &mut self.instances[n];
-            let ended = instance.child.as_mut().is_none_or(|c| !matches!(c.try_wait(), Ok(None)));
-            if ended {
-                instance.wait();
-                instance.start();
+            if instance.process.has_ended() {
+                instance.restart();
             }
         }
         for n in 0..INSTANCES {
--- a/crates/entry/examples/measure.rs
+++ b/crates/entry/examples/measure.rs
@@ -5,10 +5,7 @@
 //! The instance is the release binary, a process of its own.
 
 use std::{
-    env, fs,
-    io::{BufRead, BufReader},
     net::{SocketAddr, TcpStream},
-    process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
     time::Duration,
@@ -17,7 +14,7 @@
 use baobabvane_domain::{
     Endpoint, Kind, LogDown, Organisation, Protocol, ResourceName, Spec, Tier,
 };
-use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service};
+use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Process, Service};
 use baobabvanectl::{OperatorClient, Table};
 use hdrhistogram::Histogram;
 use monoio::time::{Instant, sleep, sleep_until};
@@ -39,63 +36,8 @@
         .expect("a runtime needs only a descriptor")
 }
 
-/// The release binary with its addresses.
-struct Instance {
-    child: Child,
-    callers: SocketAddr,
-    operators: SocketAddr,
-}
-
-impl Instance {
-    fn spawn(log: SocketAddr) -> Self {
-        let examples = env::current_exe().expect("the example has a path");
-        let binary = examples.ancestors().nth(2).expect("a target folder").join("baobabvane");
-        let mut child = Command::new(binary)
-            .args(["serve", "--listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0"])
-            .args(["--log", &log.to_string(), "--operator-tokens", &format!("ann={TOKEN}")])
-            .env("RUST_LOG", "warn")
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the release binary was built");
-        let mut line = String::new();
-        let stdout = child.stdout.take().expect("stdout is piped");
-        BufReader::new(stdout).read_line(&mut line).expect("the binary prints its addresses");
-        let address = |name: &str| {
-            let word = line.split_whitespace().find_map(|w| w.strip_prefix(name));
-            word.and_then(|a| a.parse().ok()).expect("an address")
-        };
-        Self { callers: address("callers="), operators: address("operators="), child }
-    }
-
-    /// Returns the resident memory in KiB.
-    fn memory_kib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.expect("the process runs");
-        let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("a line on memory");
-        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
-    }
-
-    /// Returns the processor time used so far.
-    fn cpu(&self) -> Duration {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        let stat = stat.expect("the process runs");
-        let ticks = stat.rsplit(") ").next().unwrap_or_default();
-        let ticks: u64 =
-            ticks.split_whitespace().skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
-        // The kernel counts hundredths of a second.
-        Duration::from_millis(ticks * 10)
-    }
-}
-
-impl Drop for Instance {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-async fn apply(instance: &Instance, engine: SocketAddr, service: SocketAddr) {
-    let client = OperatorClient::new(instance.operators, TOKEN).expect("the token is ASCII");
+async fn apply(instance: &Process, engine: SocketAddr, service: SocketAddr) {
+    let client = OperatorClient::new(instance.operators(), TOKEN).expect("the token is ASCII");
     while client.get("/v1/tiers").await.is_err() {
         sleep(Duration::from_millis(10)).await;
     }
@@ -209,7 +151,7 @@
     latency
 }
 
-fn latencies(instance: &Instance, service: SocketAddr) {
+fn latencies(instance: &Process, service: SocketAddr) {
     let mut table = Table::new(&[
         "CONNECTIONS",
         "RATE",
@@ -225,7 +167,7 @@
     ]);
     for (connections, rate) in [(64, Some(PEAK_RATE)), (1, None), (64, None), (512, None)] {
         let direct = load(service, "/items", connections, rate);
-        let through = load(instance.callers, "/v1/kinds/stock/items", connections, rate);
+        let through = load(instance.callers(), "/v1/kinds/stock/items", connections, rate);
         let q = |load: &Load, q| load.quantile_us(q);
         table.row([
             connections.to_string(),
@@ -245,10 +187,10 @@
 }
 
 /// Streams long answers and counts tokens a second of the instance's processor time.
-async fn tokens(instance: &Instance) {
+async fn tokens(instance: &Process) {
     const STREAMS: usize = 64;
     const TOKENS: usize = 4_000;
-    let caller = Caller::new(instance.callers, KEY);
+    let caller = Caller::new(instance.callers(), KEY);
     let body = json!({"model": "quote", "stream": true, "max_tokens": TOKENS,
         "messages": [{"role": "user", "content": "seam"}]});
     let cpu = instance.cpu();
@@ -269,7 +211,7 @@
 }
 
 /// Books one after the other, and many at once; the log's own append is the yardstick.
-async fn claims(instance: &Instance, log: &LogService) {
+async fn claims(instance: &Process, log: &LogService) {
     let log_caller = Caller::new(log.address(), "");
     let mut append = Histogram::<u64>::new(3).expect("3 digits are valid");
     for _ in 0..300 {
@@ -292,7 +234,7 @@
         let book = |n: u64| async move {
             sleep_until(start + Duration::from_micros(1_000_000 * n / rate)).await;
             let key = baobabvane_domain::Uuid::now_v7().to_string();
-            let caller = Caller::new(instance.callers, KEY).with("idempotency-key", &key);
+            let caller = Caller::new(instance.callers(), KEY).with("idempotency-key", &key);
             let answer = caller.send(http::Method::POST, "/v1/kinds/booking/orders", "{}").await;
             let answer = answer.expect("an answer");
             assert_eq!(answer.status, 200);
@@ -312,10 +254,10 @@
     }
 }
 
-fn idle_connections(instance: &Instance) {
+fn idle_connections(instance: &Process) {
     let at_rest = instance.memory_kib();
     let idle: Vec<TcpStream> = (0..IDLE_CONNECTIONS)
-        .map(|_| TcpStream::connect(instance.callers).expect("the instance accepts"))
+        .map(|_| TcpStream::connect(instance.callers()).expect("the instance accepts"))
         .collect();
     thread::sleep(Duration::from_secs(1));
     println!(
@@ -329,7 +271,19 @@
     let log = LogService::spawn();
     let engine = Engine::spawn(EngineSpeed { prefill_us: 0, decode_us: 0 });
     let service = Service::spawn();
-    let instance = Instance::spawn(log.address());
+    let log_address = log.address().to_string();
+    let tokens_arg = format!("ann={TOKEN}");
+    let args = [
+        "--listen",
+        "127.0.0.1:0",
+        "--operator-listen",
+        "127.0.0.1:0",
+        "--log",
+        &log_address,
+        "--operator-tokens",
+        &tokens_arg,
+    ];
+    let instance = Process::spawn(&Process::binary_of_example(), &args);
     runtime().block_on(apply(&instance, engine.address(), service.address()));
     println!("memory at rest: {} KiB", instance.memory_kib());
     latencies(&instance, service.address());
--- a/crates/entry/src/tasks/scheduler.rs
+++ b/crates/entry/src/tasks/scheduler.rs
@@ -133,7 +133,7 @@
                 self.peers.set_roster(roster);
                 self.move_requests();
             }
-            ToScheduler::FromPeer(name, reply) => self.from_peer(&name, reply),
+            ToScheduler::FromPeer(name, reply) => self.peer_reply(&name, reply),
             ToScheduler::PeerDown(name) => self.peer_down(&name),
             ToScheduler::PeerAsk(conn, ask) => self.peer_ask(conn, ask),
             ToScheduler::ConnUp(conn, mailbox) => self.peers.connected(conn, mailbox),
@@ -301,7 +301,7 @@
         }
     }
 
-    fn from_peer(&mut self, name: &str, reply: PeerReply) {
+    fn peer_reply(&mut self, name: &str, reply: PeerReply) {
         match reply {
             PeerReply::Granted { ticket, endpoint, first_token_ms, cached_tokens, why } => {
                 let ticket = Ticket(ticket);
--- a/crates/entry/tests/testsuite/fleet.rs
+++ b/crates/entry/tests/testsuite/fleet.rs
@@ -1,15 +1,10 @@
 //! The fluent helper that starts instances and stand-ins on free ports.
 
-use std::{
-    collections::BTreeMap,
-    net::{SocketAddr, TcpListener},
-    path::PathBuf,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 use baobabvane::{Embedded, Operator, Peer, Settings};
 use baobabvane_domain::{Endpoint, Spec};
-use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service};
+use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, Service, free_addresses};
 use baobabvanectl::{Manifest, OperatorClient};
 use monoio::time::sleep;
 use serde_json::{Value, json};
@@ -26,13 +21,6 @@
     pub(crate) instances: BTreeMap<String, Embedded>,
 }
 
-/// Returns addresses that were free a moment ago.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    listeners.iter().map(|l| l.local_addr().expect("a bound socket has an address")).collect()
-}
-
 /// Runs a future on the epoll driver.
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,10 +7,12 @@
 mod client;
 mod engine;
 mod log;
+mod process;
 mod server;
 mod service;
 
 pub use client::{Caller, Received};
 pub use engine::{Engine, EngineFaults, EngineSpeed};
 pub use log::{LogFaults, LogService};
+pub use process::{Process, free_addresses};
 pub use service::{Service, ServiceFaults};
--- /dev/null
+++ b/crates/standin/src/process.rs
@@ -0,0 +1,109 @@
+//! A process of the daemon, for tests and examples that kill and measure it.
+
+use std::{
+    env, fs,
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+/// The kernel counts processor time in hundredths of a second.
+const TICK_MS: u64 = 10;
+
+/// A running daemon; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    callers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Process {
+    /// Starts `binary serve` and waits until it has printed its addresses.
+    pub fn spawn<S: AsRef<str>>(binary: &Path, args: &[S]) -> Self {
+        let level = env::var("INSTANCE_LOG").unwrap_or_else(|_| "error".to_owned());
+        let mut child = Command::new(binary)
+            .arg("serve")
+            .args(args.iter().map(AsRef::as_ref))
+            .env("RUST_LOG", level)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary was built");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("the binary prints its addresses");
+        let address = |name: &str| {
+            let word = line.split_whitespace().find_map(|w| w.strip_prefix(name));
+            word.and_then(|a| a.parse().ok()).expect("the binary prints its addresses")
+        };
+        Self { callers: address("callers="), operators: address("operators="), child }
+    }
+
+    /// Returns the daemon's binary beside the running example's folder.
+    pub fn binary_of_example() -> PathBuf {
+        let example = env::current_exe().expect("the example has a path");
+        example.ancestors().nth(2).expect("a target folder").join("baobabvane")
+    }
+
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where operators connect.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        assert!(status.is_ok_and(|s| s.success()), "the process is ours and was not reaped");
+    }
+
+    /// Says whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the process to end.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process is ours")
+    }
+
+    /// Returns the resident memory, in KiB.
+    pub fn memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("a line on memory");
+        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
+    }
+
+    /// Returns the processor time used so far.
+    pub fn cpu(&self) -> Duration {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.expect("the process runs");
+        // User and system time follow the command's name in parentheses.
+        let fields = stat.rsplit(") ").next().unwrap_or_default();
+        let ticks =
+            fields.split_whitespace().skip(11).take(2).filter_map(|n| n.parse::<u64>().ok());
+        Duration::from_millis(ticks.sum::<u64>() * TICK_MS)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns addresses that were free a moment ago.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
+    listeners.iter().map(|l| l.local_addr().expect("a bound socket has an address")).collect()
+}
