decide: endpoints with room kept in order, so that a choice looks at few

Cause: a request cost 44 us at 600 endpoints, as every event summed and every choice scanned all of them. Change: an index of endpoints with room, best first; sums kept; FxHashMap.

--- /dev/null
+++ b/crates/decide/benches/decision_cost.rs
@@ -0,0 +1,112 @@
+//! What a decision costs, by endpoints and organisations.
+//!
+//! `cargo bench -p baobabvane-decide --bench decision_cost`
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use baobabvane_decide::{
+    Action, Core, Descriptor, Ending, EndpointKey, EndpointSpec, Event, KindId, OrgId, Policy,
+    Ticket,
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use slotmap::SlotMap;
+
+const SLOTS: u32 = 16;
+/// Requests at each endpoint while the cost is measured.
+const BUSY_SLOTS: usize = 8;
+
+/// A pool under usual load.
+struct Pool {
+    core: Core,
+    now: f64,
+    tickets: u64,
+    orgs: u64,
+    flying: std::collections::VecDeque<Ticket>,
+}
+
+impl Pool {
+    fn new(endpoints: usize, orgs: u64) -> Self {
+        let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+        let mut core = Core::new(Policy::default());
+        for _ in 0..endpoints {
+            let spec = EndpointSpec { slots: SLOTS, cache_blocks: 1_000 };
+            core.handle(0.0, Event::EndpointJoined(arena.insert(()), spec));
+        }
+        let mut pool =
+            Self { core, now: 0.0, tickets: 0, orgs, flying: std::collections::VecDeque::new() };
+        // Every organisation has been seen, and the endpoints are half full.
+        for _ in 0..orgs {
+            pool.cycle();
+        }
+        for _ in 0..endpoints * BUSY_SLOTS {
+            pool.offer();
+        }
+        pool
+    }
+
+    fn offer(&mut self) {
+        self.tickets += 1;
+        self.now += 0.01;
+        let req = Descriptor {
+            rank: (self.tickets % 4) as u8,
+            org: OrgId(self.tickets % self.orgs),
+            weight: 1,
+            kind: KindId(0),
+            prompt_tokens: 200,
+            answer_tokens: 30,
+            prefix: Default::default(),
+            deadline: self.now + 60_000.0,
+            streamed: true,
+            failed_at: Default::default(),
+        };
+        self.core.handle(self.now, Event::Offer(Ticket(self.tickets), req));
+        while let Some(action) = self.core.next_action() {
+            if let Action::Dispatch(ticket, ..) = black_box(action) {
+                self.flying.push_back(ticket);
+            }
+        }
+    }
+
+    /// Offers a request that is dispatched at once; ends another one untimed.
+    fn timed_offer(&mut self) -> Duration {
+        let start = Instant::now();
+        self.offer();
+        let elapsed = start.elapsed();
+        self.end();
+        elapsed
+    }
+
+    fn end(&mut self) {
+        let Some(ticket) = self.flying.pop_front() else { return };
+        self.core.handle(self.now, Event::FirstToken(ticket));
+        self.core.handle(self.now, Event::End(ticket, Ending::Whole { answer_tokens: 30 }));
+    }
+
+    /// One request from its offer to its end: three events and one decision.
+    fn cycle(&mut self) {
+        self.offer();
+        self.end();
+    }
+}
+
+fn decision_cost(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    for endpoints in [10, 100, 600] {
+        for orgs in [100, 12_000] {
+            let mut pool = Pool::new(endpoints, orgs);
+            let name = format!("{endpoints} endpoints, {orgs} organisations");
+            group.bench_function(BenchmarkId::new("whole", &name), |b| b.iter(|| pool.cycle()));
+            let mut decide = |count: u64| (0..count).map(|_| pool.timed_offer()).sum();
+            group.bench_function(BenchmarkId::new("decision", &name), |b| {
+                b.iter_custom(&mut decide)
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision_cost);
+criterion_main!(benches);
--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -10,11 +10,14 @@
     event::{Choice, Descriptor, EndpointKey, Millis},
     policy::{Placement, Policy},
     prefix::{Holder, PrefixIndex},
+    ready::Ready,
     room::Room,
 };
 
 /// An endpoint must be expected to be done this much before the deadline.
 const DEADLINE_MARGIN: f64 = 1.2;
+/// Endpoints with room that are judged, best first; those beyond would not be chosen.
+const MAX_LOOKED_AT: usize = 16;
 /// A request waits for another one's reading only with this much time to spare.
 const WAITING_MARGIN: f64 = 3.0;
 
@@ -24,6 +27,7 @@
     pub(crate) endpoints: &'a SecondaryMap<EndpointKey, Endpoint>,
     pub(crate) prefixes: &'a PrefixIndex,
     pub(crate) room: &'a Room,
+    pub(crate) ready: &'a Ready,
     pub(crate) now: Millis,
 }
 
@@ -49,39 +53,61 @@
         if holders.iter().any(|h| h.is_reading && self.is_worth_waiting(req, h, answer_tokens)) {
             return None;
         }
+        let near = holders.iter().map(|h| h.endpoint);
+        let others = self.ready.iter().filter(|key| holders.iter().all(|h| h.endpoint != *key));
         let mut best: Option<(f64, Placed)> = None;
-        for (key, endpoint) in self.endpoints {
+        let mut looked_at = 0;
+        for key in near.chain(others) {
+            let Some(endpoint) = self.endpoints.get(key) else { continue };
             if endpoint.free(self.now) == 0 || self.is_avoided(req, key) {
                 continue;
             }
-            let blocks = match holders.iter().find(|h| h.endpoint == key) {
-                Some(holder) => holder.blocks,
-                None => 0,
-            };
-            let cached_tokens = (blocks * self.policy.block_tokens).min(req.prompt_tokens);
-            let unread_tokens = req.prompt_tokens - cached_tokens;
-            let prefill = f64::from(unread_tokens) * endpoint.prefill_ms();
-            let write = answer_tokens * endpoint.decode_ms();
-            let long_prefill = prefill > self.policy.long_prefill_ms;
-            let is_long = prefill + write > self.policy.long_service_ms;
-            let is_holder = 2 * cached_tokens > req.prompt_tokens;
-            if !self.room.allows(endpoint, key, long_prefill, is_long && !is_holder) {
-                continue;
-            }
-            let first_token_ms = endpoint.first_token_ms(unread_tokens);
-            if !self.is_in_time(req, endpoint, first_token_ms + write) {
+            let blocks = holders.iter().find(|h| h.endpoint == key).map_or(0, |h| h.blocks);
+            let Some((score, placed)) = self.judge(req, key, endpoint, blocks, answer_tokens)
+            else {
                 continue;
-            }
-            let lost = self.lost_prefill_ms(req, key, endpoint, blocks, long_prefill);
-            let score = first_token_ms + self.policy.prefill_price * (prefill + lost) + write;
+            };
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                let choice = Choice { endpoint: key, first_token_ms, cached_tokens };
-                best = Some((score, Placed { choice, unread_tokens, long_prefill, is_long }));
+                best = Some((score, placed));
+            }
+            looked_at += 1;
+            if looked_at == MAX_LOOKED_AT {
+                break;
             }
         }
         best.map(|(_, placed)| placed)
     }
 
+    /// Scores an endpoint for a request; the least score is the best. `None` when
+    /// it may not be given the request.
+    fn judge(
+        &self,
+        req: &Descriptor,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+        held_blocks: u32,
+        answer_tokens: f64,
+    ) -> Option<(f64, Placed)> {
+        let cached_tokens = (held_blocks * self.policy.block_tokens).min(req.prompt_tokens);
+        let unread_tokens = req.prompt_tokens - cached_tokens;
+        let prefill = f64::from(unread_tokens) * endpoint.prefill_ms();
+        let write = answer_tokens * endpoint.decode_ms();
+        let long_prefill = prefill > self.policy.long_prefill_ms;
+        let is_long = prefill + write > self.policy.long_service_ms;
+        let is_holder = 2 * cached_tokens > req.prompt_tokens;
+        if !self.room.allows(endpoint, key, long_prefill, is_long && !is_holder) {
+            return None;
+        }
+        let first_token_ms = endpoint.first_token_ms(unread_tokens);
+        if !self.is_in_time(req, endpoint, first_token_ms + write) {
+            return None;
+        }
+        let lost = self.lost_prefill_ms(req, key, endpoint, held_blocks, long_prefill);
+        let score = first_token_ms + self.policy.prefill_price * (prefill + lost) + write;
+        let choice = Choice { endpoint: key, first_token_ms, cached_tokens };
+        Some((score, Placed { choice, unread_tokens, long_prefill, is_long }))
+    }
+
     /// Says whether a repeat has to go elsewhere, where there is an elsewhere.
     fn is_avoided(&self, req: &Descriptor, key: EndpointKey) -> bool {
         req.failed_at.contains(&key)
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -1,7 +1,8 @@
 //! The core itself: takes events, keeps the pool's state, hands out actions.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 use smallvec::SmallVec;
@@ -18,6 +19,7 @@
     policy::{Placement, Policy, TierPolicy},
     prefix::PrefixIndex,
     queue::{Queue, Waiting},
+    ready::Ready,
     room::Room,
     shed::{Pool, Shedder},
 };
@@ -67,12 +69,13 @@
     endpoints: SecondaryMap<EndpointKey, Endpoint>,
     prefixes: PrefixIndex,
     room: Room,
+    ready: Ready,
     queue: Queue,
-    flights: HashMap<Ticket, Flight>,
+    flights: FxHashMap<Ticket, Flight>,
     shedder: Shedder,
     budget: RetryBudget,
     draw: Draw,
-    answers: HashMap<KindId, Average>,
+    answers: FxHashMap<KindId, Average>,
     base_ms: Average,
     prefill_ms: Average,
     decode_ms: Average,
@@ -91,12 +94,13 @@
             endpoints: SecondaryMap::new(),
             prefixes: PrefixIndex::default(),
             room: Room::new(policy.room_for_short),
+            ready: Ready::default(),
             queue: Queue::new(policy.fair_share),
-            flights: HashMap::new(),
+            flights: FxHashMap::default(),
             shedder: Shedder::default(),
             budget: RetryBudget::new(),
             draw: Draw::new(policy.seed),
-            answers: HashMap::new(),
+            answers: FxHashMap::default(),
             base_ms: Average::new(20.0, 0.05),
             prefill_ms: Average::new(0.2, 0.05),
             decode_ms: Average::new(25.0, 0.05),
@@ -130,6 +134,7 @@
                 if let Some(endpoint) = self.endpoints.get_mut(key) {
                     endpoint.report(self.now, report);
                 }
+                self.refresh(key);
             }
             Event::CacheStored(key, blocks) => self.prefixes.store(key, &blocks),
             Event::CacheDropped(key, blocks) => self.prefixes.drop_blocks(key, &blocks),
@@ -289,6 +294,7 @@
             endpoints: &self.endpoints,
             prefixes: &self.prefixes,
             room: &self.room,
+            ready: &self.ready,
             now: self.now,
         }
     }
@@ -305,7 +311,10 @@
             deadline: req.deadline,
         };
         let sent = self.endpoints[key].send(self.now, &order);
-        self.room.count(&self.endpoints);
+        self.refresh(key);
+        if placed.long_prefill {
+            self.room.count(&self.endpoints);
+        }
         self.prefixes.store(key, &req.prefix);
         let reading = req.prefix.first().copied().filter(|_| req.streamed);
         if let Some(block) = reading {
@@ -344,6 +353,7 @@
             deadline: req.deadline,
         };
         let sent = endpoint.send(self.now, &order);
+        self.refresh(key);
         let flight = Flight {
             endpoint: key,
             rank: req.rank,
@@ -416,7 +426,15 @@
     }
 
     fn slots(&self) -> u32 {
-        self.endpoints.values().filter(|e| !e.leaving).map(|e| e.room(self.now)).sum()
+        self.ready.room()
+    }
+
+    /// Brings an endpoint's place among those with room up to date.
+    fn refresh(&mut self, key: EndpointKey) {
+        match self.endpoints.get(key) {
+            Some(endpoint) => self.ready.refresh(key, endpoint, self.now),
+            None => self.ready.remove(key),
+        }
     }
 
     fn first_token(&mut self, ticket: Ticket) {
@@ -428,7 +446,11 @@
         }
         self.base_ms.add(endpoint.base_ms());
         self.prefill_ms.add(endpoint.prefill_ms());
-        self.room.count(&self.endpoints);
+        let (key, long_prefill) = (flight.endpoint, flight.sent.long_prefill);
+        if long_prefill {
+            self.room.count(&self.endpoints);
+        }
+        self.refresh(key);
     }
 
     fn end(&mut self, ticket: Ticket, ending: Ending) {
@@ -458,6 +480,10 @@
                 endpoint.breaker.probe_ended();
             }
         }
+        if flight.sent.long_prefill {
+            self.room.count(&self.endpoints);
+        }
+        self.refresh(flight.endpoint);
     }
 
     fn learn_whole(&mut self, flight: &Flight, answer_tokens: u32) {
@@ -480,17 +506,20 @@
                 self.room.allow(key);
             }
         }
+        self.refresh(key);
     }
 
     fn leaving(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.leaving = true;
         }
+        self.refresh(key);
         self.refuse_all_without_endpoint();
     }
 
     fn gone(&mut self, key: EndpointKey) {
         self.endpoints.remove(key);
+        self.refresh(key);
         self.prefixes.forget(key);
         self.refuse_all_without_endpoint();
     }
@@ -516,12 +545,12 @@
                 endpoint.presume_read(self.now, &mut flight.sent);
             }
         }
-        if !self.policy.breaker {
-            return;
-        }
-        for endpoint in self.endpoints.values_mut().filter(|e| e.is_silent(self.now)) {
-            endpoint.breaker.open(self.now);
-            endpoint.hear(self.now);
+        for (key, endpoint) in &mut self.endpoints {
+            if self.policy.breaker && endpoint.is_silent(self.now) {
+                endpoint.breaker.open(self.now);
+                endpoint.hear(self.now);
+            }
+            self.ready.refresh(key, endpoint, self.now);
         }
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! The parts, in the order in which a request meets them:
 //! - `queue` holds what waits, by tier, organisation and deadline;
 //! - `shed` decides which waiting request yields under overload;
+//! - `ready` keeps the endpoints with room in order, best first;
 //! - `choose` picks the endpoint, by the estimates of `endpoint` and `prefix`,
 //!   among those where `room` lets it;
 //! - `limit`, `breaker` and `budget` protect endpoints from too much work;
@@ -26,6 +27,7 @@
 mod policy;
 mod prefix;
 mod queue;
+mod ready;
 mod room;
 mod shed;
 
--- a/crates/decide/src/prefix.rs
+++ b/crates/decide/src/prefix.rs
@@ -4,8 +4,9 @@
 //! of what was sent where, bounded by each cache's size and corrected by events.
 //! It is a hint: a wrong entry costs a prefill, never a promise.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use crate::event::EndpointKey;
@@ -13,15 +14,15 @@
 /// The caches of all endpoints of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct PrefixIndex {
-    holders: HashMap<u64, SmallVec<[EndpointKey; 2]>>,
-    caches: HashMap<EndpointKey, Cache>,
+    holders: FxHashMap<u64, SmallVec<[EndpointKey; 2]>>,
+    caches: FxHashMap<EndpointKey, Cache>,
     uses: Uses,
 }
 
 /// How often blocks were asked for lately, whether or not they are still held.
 #[derive(Debug, Default)]
 struct Uses {
-    counts: HashMap<u64, f32>,
+    counts: FxHashMap<u64, f32>,
 }
 
 /// Blocks whose uses are remembered; beyond it all counts are halved.
@@ -53,7 +54,7 @@
 #[derive(Debug, Default)]
 struct Cache {
     capacity: usize,
-    used_at: HashMap<u64, u64>,
+    used_at: FxHashMap<u64, u64>,
     by_use: BTreeMap<u64, u64>,
     clock: u64,
     /// First blocks of the prompts that are being read, once for each request.
@@ -190,7 +191,7 @@
 }
 
 fn remove_holder(
-    holders: &mut HashMap<u64, SmallVec<[EndpointKey; 2]>>,
+    holders: &mut FxHashMap<u64, SmallVec<[EndpointKey; 2]>>,
     block: u64,
     endpoint: EndpointKey,
 ) {
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -7,9 +7,10 @@
 
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
 };
 
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use crate::event::{Descriptor, Millis, OrgId, Rank, Ticket};
@@ -60,7 +61,7 @@
 
 #[derive(Debug, Default)]
 struct TierQueue {
-    orgs: HashMap<OrgId, OrgQueue>,
+    orgs: FxHashMap<OrgId, OrgQueue>,
     by_start: BTreeSet<(Ordered, OrgId)>,
     by_finish: BTreeSet<(Ordered, OrgId)>,
     clock: f64,
@@ -71,7 +72,7 @@
 /// All waiting requests of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    waiting: HashMap<Ticket, Waiting>,
+    waiting: FxHashMap<Ticket, Waiting>,
     tiers: BTreeMap<Rank, TierQueue>,
     by_latest_start: BTreeSet<(Ordered, Ticket)>,
     fair_share: bool,
--- /dev/null
+++ b/crates/decide/src/ready.rs
@@ -0,0 +1,75 @@
+//! The endpoints that have room, best first, so that a choice need not look at all.
+//!
+//! An endpoint's place is brought up to date when something happened at it, and
+//! all places at each tick, since breakers and reports change with time.
+
+use std::collections::BTreeSet;
+
+use slotmap::SecondaryMap;
+
+use crate::{
+    endpoint::Endpoint,
+    event::{EndpointKey, Millis},
+    queue::Ordered,
+};
+
+/// The request by which endpoints are ordered.
+const USUAL_PROMPT_TOKENS: u32 = 256;
+const USUAL_ANSWER_TOKENS: f64 = 64.0;
+
+/// What was last known of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    room: u32,
+    score: Option<f64>,
+}
+
+/// Endpoints with room by the time that they would need, and the room of all.
+#[derive(Debug, Default)]
+pub(crate) struct Ready {
+    by_score: BTreeSet<(Ordered, EndpointKey)>,
+    places: SecondaryMap<EndpointKey, Place>,
+    room: u32,
+}
+
+impl Ready {
+    /// Brings an endpoint up to date.
+    pub(crate) fn refresh(&mut self, key: EndpointKey, endpoint: &Endpoint, now: Millis) {
+        let score = (endpoint.free(now) > 0).then(|| {
+            let first_token = endpoint.first_token_ms(USUAL_PROMPT_TOKENS);
+            first_token + USUAL_ANSWER_TOKENS * endpoint.decode_ms()
+        });
+        let place = Place { room: endpoint.room(now), score };
+        if let Some(old) = self.places.get(key)
+            && old.score == score
+            && old.room == place.room
+        {
+            return;
+        }
+        self.remove(key);
+        self.room += place.room;
+        if let Some(score) = score {
+            self.by_score.insert((Ordered(score), key));
+        }
+        self.places.insert(key, place);
+    }
+
+    /// Forgets an endpoint.
+    pub(crate) fn remove(&mut self, key: EndpointKey) {
+        let Some(old) = self.places.remove(key) else { return };
+        self.room -= old.room;
+        if let Some(score) = old.score {
+            self.by_score.remove(&(Ordered(score), key));
+        }
+    }
+
+    /// Returns how many requests all endpoints may have in flight.
+    pub(crate) fn room(&self) -> u32 {
+        self.room
+    }
+
+    /// Lists the endpoints with room, best first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = EndpointKey> {
+        self.by_score.iter().map(|(_, key)| *key)
+    }
+}
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -17,7 +17,7 @@
 /// The interval of a small fleet, in milliseconds.
 const MIN_INTERVAL_MS: u64 = 250;
 /// Instances of a zone for each minimum interval.
-const INSTANCES_PER_INTERVAL: usize = 8;
+const INSTANCES_PER_INTERVAL: usize = 4;
 /// Instances of its own zone that a beat is sent to.
 const ZONE_FANOUT: usize = 2;
 /// Every so many beats, one goes to an instance of another zone.
--- a/crates/platform/src/http_log.rs
+++ b/crates/platform/src/http_log.rs
@@ -82,6 +82,17 @@
         parse(&body).map_err(ReadError)
     }
 
+    /// Takes an idle connection that is still open.
+    fn take_quiet(&self) -> Option<ClientConn> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut conn) = idle.pop() {
+            if conn.is_quiet() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
     async fn exchange(
         &self,
         method: Method,
@@ -89,8 +100,7 @@
         body: Bytes,
         within: Duration,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
-        let idle = self.idle.borrow_mut().pop();
-        let mut conn = match idle {
+        let mut conn = match self.take_quiet() {
             Some(conn) => conn,
             None => self.connector.connect().await.map_err(ExchangeError::NotSent)?,
         };
