decide, entry: the core and the scheduler in smaller files

Change: requests at endpoints, endpoints, other instances and configuration have files of their own; behaviour is the same.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -1,5 +1,8 @@
 //! The core itself: takes events, keeps the pool's state, hands out actions.
 
+mod endpoints;
+mod flight;
+
 use std::collections::VecDeque;
 
 use rustc_hash::FxHashMap;
@@ -7,14 +10,12 @@
 use slotmap::SecondaryMap;
 use smallvec::SmallVec;
 
+use self::flight::Flight;
 use crate::{
     budget::RetryBudget,
-    choose::{Chooser, Draw, Placed},
-    endpoint::{Endpoint, SendOrder, Sent, is_tight},
-    event::{
-        Action, Descriptor, Ending, EndpointKey, EndpointSpec, Event, KindId, Millis, OrgId, Rank,
-        Refusal, Ticket, Why,
-    },
+    choose::{Chooser, Draw},
+    endpoint::Endpoint,
+    event::{Action, Descriptor, EndpointKey, Event, KindId, Millis, Rank, Refusal, Ticket, Why},
     learn::{Average, Rate},
     policy::{Placement, Policy, TierPolicy},
     prefix::PrefixIndex,
@@ -33,6 +34,7 @@
 const FLOOR_WINDOW_MS: Millis = 5_000.0;
 /// What little use of the pool says of its capacity under load.
 const IDLE_CAPACITY_SHARE: f64 = 0.5;
+
 /// Numbers for metrics and status.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
@@ -46,21 +48,6 @@
     pub open_breakers: u32,
 }
 
-/// A dispatched request.
-#[derive(Clone, Debug)]
-struct Flight {
-    endpoint: EndpointKey,
-    rank: Rank,
-    org: OrgId,
-    weight: u32,
-    kind: KindId,
-    prompt_tokens: u32,
-    cost: f64,
-    /// The first block of the prompt, until it is read.
-    reading: Option<u64>,
-    sent: Sent,
-}
-
 /// Decides for one pool; see the crate's documentation.
 #[derive(Debug)]
 pub struct Core {
@@ -299,75 +286,6 @@
         }
     }
 
-    fn send(&mut self, ticket: Ticket, waiting: Waiting, placed: Placed) {
-        let why = self.why(waiting.descriptor.rank, waiting.since);
-        let Waiting { descriptor: req, cost, .. } = waiting;
-        let key = placed.choice.endpoint;
-        let order = SendOrder {
-            unread_tokens: placed.unread_tokens,
-            long_prefill: placed.long_prefill,
-            is_long: placed.is_long,
-            streamed: req.streamed,
-            deadline: req.deadline,
-        };
-        let sent = self.endpoints[key].send(self.now, &order);
-        self.refresh(key);
-        if placed.long_prefill {
-            self.room.count(&self.endpoints);
-        }
-        self.prefixes.store(key, &req.prefix);
-        let reading = req.prefix.first().copied().filter(|_| req.streamed);
-        if let Some(block) = reading {
-            self.prefixes.begin_reading(key, block);
-        }
-        let now = self.now;
-        self.dispatched.add(now, cost);
-        self.tier_rate(req.rank).add(now, cost);
-        if req.failed_at.is_empty() {
-            self.budget.earn();
-        }
-        let flight = Flight {
-            endpoint: key,
-            rank: req.rank,
-            org: req.org,
-            weight: req.weight,
-            kind: req.kind,
-            prompt_tokens: req.prompt_tokens,
-            cost,
-            reading,
-            sent,
-        };
-        self.flights.insert(ticket, flight);
-        self.actions.push_back(Action::Dispatch(ticket, placed.choice, why));
-    }
-
-    /// Counts a request that another scheduler sent; its prompt is taken to be read.
-    fn adopt(&mut self, ticket: Ticket, key: EndpointKey, req: Descriptor) {
-        let Waiting { descriptor: req, cost, .. } = self.estimate(req);
-        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
-        let order = SendOrder {
-            unread_tokens: 0,
-            long_prefill: false,
-            is_long: false,
-            streamed: false,
-            deadline: req.deadline,
-        };
-        let sent = endpoint.send(self.now, &order);
-        self.refresh(key);
-        let flight = Flight {
-            endpoint: key,
-            rank: req.rank,
-            org: req.org,
-            weight: req.weight,
-            kind: req.kind,
-            prompt_tokens: req.prompt_tokens,
-            cost,
-            reading: None,
-            sent,
-        };
-        self.flights.insert(ticket, flight);
-    }
-
     fn shed(&mut self) {
         if !self.policy.shedding {
             return;
@@ -429,131 +347,6 @@
         self.ready.room()
     }
 
-    /// Brings an endpoint's place among those with room up to date.
-    fn refresh(&mut self, key: EndpointKey) {
-        match self.endpoints.get(key) {
-            Some(endpoint) => self.ready.refresh(key, endpoint, self.now),
-            None => self.ready.remove(key),
-        }
-    }
-
-    fn first_token(&mut self, ticket: Ticket) {
-        let Some(flight) = self.flights.get_mut(&ticket) else { return };
-        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
-        endpoint.first_token(self.now, &mut flight.sent);
-        if let Some(block) = flight.reading.take() {
-            self.prefixes.end_reading(flight.endpoint, block);
-        }
-        self.base_ms.add(endpoint.base_ms());
-        self.prefill_ms.add(endpoint.prefill_ms());
-        let (key, long_prefill) = (flight.endpoint, flight.sent.long_prefill);
-        if long_prefill {
-            self.room.count(&self.endpoints);
-        }
-        self.refresh(key);
-    }
-
-    fn end(&mut self, ticket: Ticket, ending: Ending) {
-        let Some(mut flight) = self.flights.remove(&ticket) else { return };
-        let now = self.now;
-        if let Some(block) = flight.reading.take() {
-            self.prefixes.end_reading(flight.endpoint, block);
-        }
-        if !flight.sent.is_long {
-            self.room.short_ended(is_tight(now, &flight.sent));
-        }
-        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
-        match ending {
-            Ending::Whole { answer_tokens } => {
-                endpoint.finish(self.now, &mut flight.sent, answer_tokens);
-                self.decode_ms.add(endpoint.decode_ms());
-                self.learn_whole(&flight, answer_tokens);
-            }
-            Ending::Failed => {
-                endpoint.release(&mut flight.sent);
-                if self.policy.breaker {
-                    endpoint.breaker.failed(self.now);
-                }
-            }
-            Ending::Lost | Ending::Cancelled => {
-                endpoint.release(&mut flight.sent);
-                endpoint.breaker.probe_ended();
-            }
-        }
-        if flight.sent.long_prefill {
-            self.room.count(&self.endpoints);
-        }
-        self.refresh(flight.endpoint);
-    }
-
-    fn learn_whole(&mut self, flight: &Flight, answer_tokens: u32) {
-        let tokens = f64::from(answer_tokens);
-        self.answers.entry(flight.kind).or_insert_with(|| Average::new(tokens, 0.05)).add(tokens);
-        let read = f64::from(flight.prompt_tokens) * self.prefill_ms.get();
-        let cost = self.base_ms.get() + read + tokens * self.decode_ms.get() / DECODE_BATCH;
-        let duration = (self.now - flight.sent.at).max(1.0);
-        self.cost_per_slot_ms.add(cost / duration);
-        self.queue.correct(flight.rank, flight.org, flight.weight, cost - flight.cost);
-    }
-
-    fn joined(&mut self, key: EndpointKey, spec: &EndpointSpec) {
-        self.prefixes.set_capacity(key, spec.cache_blocks);
-        match self.endpoints.get_mut(key) {
-            Some(endpoint) => endpoint.update(spec),
-            None => {
-                let endpoint = Endpoint::new(spec, self.policy.adaptive_limit, self.now);
-                self.endpoints.insert(key, endpoint);
-                self.room.allow(key);
-            }
-        }
-        self.refresh(key);
-    }
-
-    fn leaving(&mut self, key: EndpointKey) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.leaving = true;
-        }
-        self.refresh(key);
-        self.refuse_all_without_endpoint();
-    }
-
-    fn gone(&mut self, key: EndpointKey) {
-        self.endpoints.remove(key);
-        self.refresh(key);
-        self.prefixes.forget(key);
-        self.refuse_all_without_endpoint();
-    }
-
-    /// Refuses what waits once no endpoint can serve it, least urgent first.
-    fn refuse_all_without_endpoint(&mut self) {
-        if self.endpoints.values().any(|e| !e.leaving) {
-            return;
-        }
-        loop {
-            let Some(rank) = self.queue.ranks().next_back() else { return };
-            let Some(ticket) = self.queue.victim(rank) else { return };
-            let Some(waiting) = self.queue.remove(ticket) else { return };
-            self.refuse(ticket, rank, waiting.since, Refusal::NoEndpoint);
-        }
-    }
-
-    fn tick(&mut self) {
-        let floor = self.policy.tiers.iter().map(|t| t.floor).fold(0.0, f64::max);
-        self.room.review(self.now, &self.endpoints, floor);
-        for flight in self.flights.values_mut() {
-            if let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) {
-                endpoint.presume_read(self.now, &mut flight.sent);
-            }
-        }
-        for (key, endpoint) in &mut self.endpoints {
-            if self.policy.breaker && endpoint.is_silent(self.now) {
-                endpoint.breaker.open(self.now);
-                endpoint.hear(self.now);
-            }
-            self.ready.refresh(key, endpoint, self.now);
-        }
-    }
-
     fn tier_rate(&mut self, rank: Rank) -> &mut Rate {
         let index = usize::from(rank);
         while self.dispatched_by_tier.len() <= index {
--- /dev/null
+++ b/crates/decide/src/core/flight.rs
@@ -0,0 +1,157 @@
+//! Requests at endpoints: sent, begun, ended, and what is learned from them.
+
+use super::{Core, DECODE_BATCH};
+use crate::{
+    choose::Placed,
+    endpoint::{SendOrder, Sent, is_tight},
+    event::{Action, Descriptor, Ending, EndpointKey, KindId, OrgId, Rank, Ticket},
+    learn::Average,
+    queue::Waiting,
+};
+
+/// A dispatched request.
+#[derive(Clone, Debug)]
+pub(super) struct Flight {
+    pub(super) endpoint: EndpointKey,
+    rank: Rank,
+    org: OrgId,
+    weight: u32,
+    kind: KindId,
+    prompt_tokens: u32,
+    cost: f64,
+    /// The first block of the prompt, until it is read.
+    reading: Option<u64>,
+    pub(super) sent: Sent,
+}
+
+impl Flight {
+    fn new(
+        endpoint: EndpointKey,
+        req: &Descriptor,
+        cost: f64,
+        reading: Option<u64>,
+        sent: Sent,
+    ) -> Self {
+        Self {
+            endpoint,
+            rank: req.rank,
+            org: req.org,
+            weight: req.weight,
+            kind: req.kind,
+            prompt_tokens: req.prompt_tokens,
+            cost,
+            reading,
+            sent,
+        }
+    }
+}
+
+impl Core {
+    pub(super) fn send(&mut self, ticket: Ticket, waiting: Waiting, placed: Placed) {
+        let why = self.why(waiting.descriptor.rank, waiting.since);
+        let Waiting { descriptor: req, cost, .. } = waiting;
+        let key = placed.choice.endpoint;
+        let order = SendOrder {
+            unread_tokens: placed.unread_tokens,
+            long_prefill: placed.long_prefill,
+            is_long: placed.is_long,
+            streamed: req.streamed,
+            deadline: req.deadline,
+        };
+        let sent = self.endpoints[key].send(self.now, &order);
+        self.refresh(key);
+        if placed.long_prefill {
+            self.room.count(&self.endpoints);
+        }
+        self.prefixes.store(key, &req.prefix);
+        let reading = req.prefix.first().copied().filter(|_| req.streamed);
+        if let Some(block) = reading {
+            self.prefixes.begin_reading(key, block);
+        }
+        let now = self.now;
+        self.dispatched.add(now, cost);
+        self.tier_rate(req.rank).add(now, cost);
+        if req.failed_at.is_empty() {
+            self.budget.earn();
+        }
+        let flight = Flight::new(key, &req, cost, reading, sent);
+        self.flights.insert(ticket, flight);
+        self.actions.push_back(Action::Dispatch(ticket, placed.choice, why));
+    }
+
+    /// Counts a request that another scheduler sent; its prompt is taken to be read.
+    pub(super) fn adopt(&mut self, ticket: Ticket, key: EndpointKey, req: Descriptor) {
+        let Waiting { descriptor: req, cost, .. } = self.estimate(req);
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        let order = SendOrder {
+            unread_tokens: 0,
+            long_prefill: false,
+            is_long: false,
+            streamed: false,
+            deadline: req.deadline,
+        };
+        let sent = endpoint.send(self.now, &order);
+        self.refresh(key);
+        let flight = Flight::new(key, &req, cost, None, sent);
+        self.flights.insert(ticket, flight);
+    }
+
+    pub(super) fn first_token(&mut self, ticket: Ticket) {
+        let Some(flight) = self.flights.get_mut(&ticket) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        endpoint.first_token(self.now, &mut flight.sent);
+        if let Some(block) = flight.reading.take() {
+            self.prefixes.end_reading(flight.endpoint, block);
+        }
+        self.base_ms.add(endpoint.base_ms());
+        self.prefill_ms.add(endpoint.prefill_ms());
+        let (key, long_prefill) = (flight.endpoint, flight.sent.long_prefill);
+        if long_prefill {
+            self.room.count(&self.endpoints);
+        }
+        self.refresh(key);
+    }
+
+    pub(super) fn end(&mut self, ticket: Ticket, ending: Ending) {
+        let Some(mut flight) = self.flights.remove(&ticket) else { return };
+        let now = self.now;
+        if let Some(block) = flight.reading.take() {
+            self.prefixes.end_reading(flight.endpoint, block);
+        }
+        if !flight.sent.is_long {
+            self.room.short_ended(is_tight(now, &flight.sent));
+        }
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        match ending {
+            Ending::Whole { answer_tokens } => {
+                endpoint.finish(self.now, &mut flight.sent, answer_tokens);
+                self.decode_ms.add(endpoint.decode_ms());
+                self.learn_whole(&flight, answer_tokens);
+            }
+            Ending::Failed => {
+                endpoint.release(&mut flight.sent);
+                if self.policy.breaker {
+                    endpoint.breaker.failed(self.now);
+                }
+            }
+            Ending::Lost | Ending::Cancelled => {
+                endpoint.release(&mut flight.sent);
+                endpoint.breaker.probe_ended();
+            }
+        }
+        if flight.sent.long_prefill {
+            self.room.count(&self.endpoints);
+        }
+        self.refresh(flight.endpoint);
+    }
+
+    fn learn_whole(&mut self, flight: &Flight, answer_tokens: u32) {
+        let tokens = f64::from(answer_tokens);
+        self.answers.entry(flight.kind).or_insert_with(|| Average::new(tokens, 0.05)).add(tokens);
+        let read = f64::from(flight.prompt_tokens) * self.prefill_ms.get();
+        let cost = self.base_ms.get() + read + tokens * self.decode_ms.get() / DECODE_BATCH;
+        let duration = (self.now - flight.sent.at).max(1.0);
+        self.cost_per_slot_ms.add(cost / duration);
+        self.queue.correct(flight.rank, flight.org, flight.weight, cost - flight.cost);
+    }
+}
--- a/crates/entry/src/tasks/scheduler.rs
+++ b/crates/entry/src/tasks/scheduler.rs
@@ -5,10 +5,12 @@
 //! goes, its askers offer what waits again elsewhere and tell the next one what
 //! is at endpoints already. See [scheduling](../../../../docs/scheduling.md).
 
+mod configure;
 mod endpoints;
 mod grant;
 mod held;
 mod peers;
+mod remote;
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -16,7 +18,6 @@
     Action, Choice, Core, Counts, Ending, EndpointSpec, Event, FailedAt, Policy, Refusal, Ticket,
     TierPolicy, Why,
 };
-use baobabvane_domain::{Catalog, Endpoint};
 use baobabvane_members::{Roster, SharedKey};
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
@@ -290,96 +291,6 @@
         }
     }
 
-    fn peer_down(&mut self, name: &str) {
-        if self.peers.went_down(name, self.clock.now()) {
-            log::warn!("event=scheduler_moved away_from={name}");
-            metrics::counter!("baobabvane_schedulers_lost_total").increment(1);
-        }
-        let place = Place::At(name.to_owned());
-        for ticket in self.held.find(|held| held.place == place) {
-            self.place(ticket);
-        }
-    }
-
-    fn peer_reply(&mut self, name: &str, reply: PeerReply) {
-        match reply {
-            PeerReply::Granted { ticket, endpoint, first_token_ms, cached_tokens, why } => {
-                let ticket = Ticket(ticket);
-                if !self.is_waiting_at(ticket, name) || self.endpoints.key(&endpoint).is_none() {
-                    let ask = PeerAsk::End(ticket.0, Ending::Cancelled);
-                    return self.peers.ask(name, ask, &self.mailbox);
-                }
-                self.grant(ticket, &endpoint, first_token_ms, cached_tokens, why);
-            }
-            PeerReply::Refused { ticket, refusal, why } => {
-                if self.is_waiting_at(Ticket(ticket), name) {
-                    self.refuse(Ticket(ticket), refusal, why);
-                }
-            }
-            PeerReply::Spill { ticket, why } => {
-                if self.is_waiting_at(Ticket(ticket), name) {
-                    self.spill(Ticket(ticket), why);
-                }
-            }
-            PeerReply::Pong(_) => {}
-        }
-    }
-
-    /// Says whether an answer of another instance is still wanted.
-    fn is_waiting_at(&self, ticket: Ticket, name: &str) -> bool {
-        self.held
-            .get(ticket)
-            .is_some_and(|held| held.endpoint.is_none() && held.place == Place::At(name.to_owned()))
-    }
-
-    fn peer_ask(&mut self, conn: ConnId, ask: PeerAsk) {
-        match ask {
-            PeerAsk::Offer(offer) => self.peer_offer(conn, offer, None),
-            PeerAsk::Adopt(offer, endpoint) => self.peer_offer(conn, offer, Some(endpoint)),
-            PeerAsk::Withdraw(theirs) => {
-                if let Some(ticket) = self.held.of_peer(conn, theirs) {
-                    self.withdraw(ticket);
-                }
-            }
-            PeerAsk::FirstToken(theirs) => {
-                if let Some(ticket) = self.held.of_peer(conn, theirs) {
-                    self.first_token(ticket);
-                }
-            }
-            PeerAsk::End(theirs, ending) => {
-                if let Some(ticket) = self.held.of_peer(conn, theirs) {
-                    self.end(ticket, ending);
-                }
-            }
-            PeerAsk::Ping(_) => {}
-        }
-    }
-
-    fn peer_offer(&mut self, conn: ConnId, offer: PeerOffer, endpoint: Option<String>) {
-        let mut descriptor = offer.descriptor;
-        descriptor.deadline = self.clock.now() + offer.patience_ms;
-        let held = Held {
-            // Work of another zone is not handed on to a third.
-            spilled: offer.zone != self.zone,
-            pool: PoolKey { pool: offer.pool, zone: offer.zone },
-            descriptor,
-            failed_at: offer.failed_at,
-            place: Place::Here,
-            asker: Asker::Peer(conn, offer.ticket),
-            endpoint,
-        };
-        let ticket = self.held.insert_for_peer(conn, offer.ticket, held);
-        self.place(ticket);
-    }
-
-    fn conn_down(&mut self, conn: ConnId) {
-        self.peers.disconnected(conn);
-        let lost = self.held.find(|held| matches!(held.asker, Asker::Peer(c, _) if c == conn));
-        for ticket in lost {
-            self.withdraw(ticket);
-        }
-    }
-
     fn core(&mut self, pool: &PoolKey) -> &mut Core {
         let tiers = &self.tiers;
         self.cores.entry(pool.clone()).or_insert_with(|| {
@@ -483,40 +394,6 @@
         self.place(ticket);
     }
 
-    fn configure(&mut self, catalog: &Catalog) {
-        self.set_tiers(catalog);
-        for (key, pool) in self.endpoints.remove_gone(catalog) {
-            self.handle(&pool, Event::EndpointGone(key));
-        }
-        for (name, spec) in catalog.endpoints() {
-            self.put_endpoint(name, spec);
-        }
-    }
-
-    fn set_tiers(&mut self, catalog: &Catalog) {
-        let ranks = catalog.tiers().map(|(_, t)| usize::from(t.rank) + 1).max().unwrap_or(0);
-        let mut tiers = vec![TierPolicy::default(); ranks];
-        for (_, tier) in catalog.tiers() {
-            tiers[usize::from(tier.rank)].floor = f64::from(tier.floor_percent) / 100.0;
-        }
-        for core in self.cores.values_mut() {
-            core.set_tiers(tiers.clone());
-        }
-        self.tiers = tiers;
-    }
-
-    fn put_endpoint(&mut self, name: &str, spec: &Endpoint) {
-        let key = self.endpoints.put(name, spec);
-        let pool = PoolKey { pool: spec.pool.clone(), zone: spec.zone.clone() };
-        self.core(&pool);
-        let cache_blocks = spec.cache_tokens / BLOCK_TOKENS;
-        let core_spec = EndpointSpec { slots: spec.slots, cache_blocks };
-        self.handle(&pool, Event::EndpointJoined(key, core_spec));
-        if spec.leaving {
-            self.handle(&pool, Event::EndpointLeaving(key));
-        }
-    }
-
     fn tick(&mut self) {
         let pools: Vec<PoolKey> = self.cores.keys().cloned().collect();
         for pool in pools {
