--- a/crates/entry/src/tasks/scheduler.rs
+++ b/crates/entry/src/tasks/scheduler.rs
@@ -15,8 +15,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use baobabvane_decide::{
-    Action, Choice, Core, Counts, Ending, EndpointSpec, Event, FailedAt, Policy, Refusal, Ticket,
-    TierPolicy, Why,
+    Action, Choice, Core, Counts, Ending, Event, FailedAt, Policy, Refusal, Ticket, TierPolicy, Why,
 };
 use baobabvane_members::{Roster, SharedKey};
 use local_sync::{mpsc::unbounded, oneshot};
