decide: a pool that fails again and again refuses at once

Cause: with the only endpoint's breaker open for eight seconds, a caller was kept waiting until its deadline of ten. Change: an offer is refused when no endpoint may receive work within a second; claims are appended at most every 20 ms, so that 8 instances stay within 400 appends a second.

--- a/crates/decide/src/breaker.rs
+++ b/crates/decide/src/breaker.rs
@@ -33,6 +33,11 @@
         self.opened > 0
     }
 
+    /// Says whether no request may be sent before a time.
+    pub(crate) fn is_open_until(&self, time: Millis) -> bool {
+        self.opened > 0 && self.open_until > time
+    }
+
     /// Notes that a request was sent.
     pub(crate) fn sent(&mut self) {
         self.probing = self.is_open();
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -166,7 +166,7 @@
         let rank = req.rank;
         self.shedder.offered(rank, req.deadline - self.now);
         let waiting = self.estimate(req);
-        if !self.endpoints.values().any(|e| !e.leaving) {
+        if !self.may_serve_soon() {
             return self.refuse(ticket, rank, self.now, Refusal::NoEndpoint);
         }
         if !self.policy.queueing {
--- a/crates/decide/src/core/endpoints.rs
+++ b/crates/decide/src/core/endpoints.rs
@@ -3,10 +3,22 @@
 use super::Core;
 use crate::{
     endpoint::Endpoint,
-    event::{EndpointKey, EndpointSpec, Refusal},
+    event::{EndpointKey, EndpointSpec, Millis, Refusal},
 };
 
+/// A request waits for endpoints whose breakers let one through within this time.
+const MAX_OPEN_WAIT_MS: Millis = 1_000.0;
+
 impl Core {
+    /// Says whether an endpoint may receive work now or in a moment.
+    ///
+    /// When all have failed again and again, a caller is told so at once in
+    /// place of waiting for its deadline.
+    pub(super) fn may_serve_soon(&self) -> bool {
+        let soon = self.now + MAX_OPEN_WAIT_MS;
+        self.endpoints.values().any(|e| !e.leaving && !e.breaker.is_open_until(soon))
+    }
+
     pub(super) fn joined(&mut self, key: EndpointKey, spec: &EndpointSpec) {
         self.prefixes.set_capacity(key, spec.cache_blocks);
         match self.endpoints.get_mut(key) {
@@ -73,3 +85,49 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use slotmap::SlotMap;
+
+    use crate::{
+        Action, Core, Descriptor, Ending, EndpointKey, EndpointSpec, Event, KindId, OrgId, Policy,
+        Refusal, Ticket,
+    };
+
+    fn offer(core: &mut Core, now: f64, ticket: u64) -> Option<Action> {
+        let req = Descriptor {
+            rank: 0,
+            org: OrgId(1),
+            weight: 1,
+            kind: KindId(1),
+            prompt_tokens: 10,
+            answer_tokens: 1,
+            prefix: Default::default(),
+            deadline: now + 60_000.0,
+            streamed: true,
+            failed_at: Default::default(),
+        };
+        core.handle(now, Event::Offer(Ticket(ticket), req));
+        core.next_action()
+    }
+
+    #[test]
+    fn a_pool_that_fails_again_and_again_refuses_at_once() {
+        let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+        let mut core = Core::new(Policy::default());
+        let spec = EndpointSpec { slots: 4, cache_blocks: 0 };
+        core.handle(0.0, Event::EndpointJoined(arena.insert(()), spec));
+        for ticket in 0..3 {
+            assert!(matches!(offer(&mut core, 0.0, ticket), Some(Action::Dispatch(..))));
+            core.handle(0.0, Event::End(Ticket(ticket), Ending::Failed));
+        }
+        // The first pause is a second, which is worth waiting for.
+        assert_eq!(offer(&mut core, 100.0, 10), None);
+        core.handle(1_100.0, Event::Tick);
+        assert!(matches!(core.next_action(), Some(Action::Dispatch(Ticket(10), ..))));
+        core.handle(1_100.0, Event::End(Ticket(10), Ending::Failed));
+        let refused = offer(&mut core, 1_200.0, 11);
+        assert!(matches!(refused, Some(Action::Refuse(_, Refusal::NoEndpoint, _))), "{refused:?}");
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -109,7 +109,7 @@
             peers: Vec::new(),
             operators: Vec::new(),
             log_timeout_ms: 2_000,
-            claim_interval_ms: 10,
+            claim_interval_ms: 20,
             key_max_age_ms: 600_000,
             snapshot_interval_ms: 3_600_000,
             head_bytes: 16 * 1024,
