claims, domain: less memory for a key, no scan for an API key

Cause: the footprint example showed 403 bytes for a key in the ledger (39 MB for 100,000) and 172 us to apply one of 12,000 organisations, as each change was compared with all. Change: the ledger holds digests; the catalog knows the owners of API keys.

--- a/crates/claims/src/ledger.rs
+++ b/crates/claims/src/ledger.rs
@@ -55,11 +55,42 @@
     }
 }
 
+/// A key's digest; the ledger holds no names, as it holds many keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Digest([u8; 16]);
+
+impl Digest {
+    fn new(key: &RequestKey) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [key.organisation.as_bytes(), key.kind.as_bytes(), key.key.as_bytes()] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let hash = hasher.finalize();
+        Self(*hash.as_bytes().first_chunk().expect("a hash has 32 bytes"))
+    }
+}
+
+/// What is held of a key.
+#[derive(Clone, Debug)]
+struct Held {
+    owner: Owner,
+    body_hash: u64,
+    ended: Option<Box<Ended>>,
+}
+
+/// How a claimed request ended.
+#[derive(Clone, Debug)]
+struct Ended {
+    verdict: Verdict,
+    answer: Option<Answer>,
+}
+
 /// All keys that the log still speaks of.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    keys: HashMap<RequestKey, KeyState>,
-    by_issue: BTreeMap<u64, Vec<RequestKey>>,
+    keys: HashMap<Digest, Held>,
+    by_issue: BTreeMap<u64, Vec<Digest>>,
 }
 
 impl Ledger {
@@ -73,8 +104,21 @@
     }
 
     /// Returns what the log says of a key; `None` when nobody holds it.
-    pub fn get(&self, key: &RequestKey) -> Option<&KeyState> {
-        self.keys.get(key)
+    pub fn get(&self, key: &RequestKey) -> Option<KeyState> {
+        let Held { owner, body_hash, ended } = self.keys.get(&Digest::new(key))?.clone();
+        Some(match ended {
+            None => KeyState::Claimed { owner, body_hash },
+            Some(ended) => {
+                let Ended { verdict, answer } = *ended;
+                KeyState::Ended { owner, body_hash, verdict, answer }
+            }
+        })
+    }
+
+    /// Says whether an owner's claim was first and its outcome is not known.
+    pub(crate) fn is_open(&self, key: &RequestKey, owner: Owner) -> bool {
+        let held = self.keys.get(&Digest::new(key));
+        held.is_some_and(|held| held.owner == owner && held.ended.is_none())
     }
 
     /// Returns how many keys are held in memory.
@@ -96,47 +140,41 @@
             if *entry.key() >= issued_ms {
                 return;
             }
-            for key in entry.remove() {
-                self.keys.remove(&key);
+            for digest in entry.remove() {
+                self.keys.remove(&digest);
             }
         }
     }
 
     fn apply_claim(&mut self, claim: &Claim) {
-        if self.keys.contains_key(&claim.key) {
+        let digest = Digest::new(&claim.key);
+        if self.keys.contains_key(&digest) {
             return;
         }
         let owner = Owner { incarnation: claim.incarnation, attempt: claim.attempt };
-        let state = KeyState::Claimed { owner, body_hash: claim.body_hash };
-        let issued = issued_at_ms(claim.key.key);
-        self.by_issue.entry(issued).or_default().push(claim.key.clone());
-        self.keys.insert(claim.key.clone(), state);
+        self.by_issue.entry(issued_at_ms(claim.key.key)).or_default().push(digest);
+        self.keys.insert(digest, Held { owner, body_hash: claim.body_hash, ended: None });
     }
 
     fn apply_outcome(&mut self, outcome: &Outcome) {
         let owner = Owner { incarnation: outcome.incarnation, attempt: outcome.attempt };
-        let Some(state) = self.keys.get_mut(&outcome.key) else { return };
-        let KeyState::Claimed { owner: winner, body_hash } = *state else { return };
-        if winner != owner {
+        if !self.is_open(&outcome.key, owner) {
             return;
         }
+        let digest = Digest::new(&outcome.key);
         if outcome.verdict == Verdict::NotRun {
-            self.release(&outcome.key);
-            return;
+            return self.release(digest, issued_at_ms(outcome.key.key));
         }
-        *state = KeyState::Ended {
-            owner,
-            body_hash,
-            verdict: outcome.verdict,
-            answer: outcome.answer.clone(),
-        };
-    }
-
-    fn release(&mut self, key: &RequestKey) {
-        self.keys.remove(key);
-        let issued = issued_at_ms(key.key);
-        if let Some(keys) = self.by_issue.get_mut(&issued) {
-            keys.retain(|k| k != key);
+        if let Some(held) = self.keys.get_mut(&digest) {
+            let Outcome { verdict, answer, .. } = outcome.clone();
+            held.ended = Some(Box::new(Ended { verdict, answer }));
+        }
+    }
+
+    fn release(&mut self, digest: Digest, issued_ms: u64) {
+        self.keys.remove(&digest);
+        if let Some(digests) = self.by_issue.get_mut(&issued_ms) {
+            digests.retain(|d| *d != digest);
         }
     }
 }
--- a/crates/claims/src/writer.rs
+++ b/crates/claims/src/writer.rs
@@ -165,7 +165,7 @@
     }
 
     /// Returns what the log says of a key.
-    pub fn get(&self, key: &RequestKey) -> Option<&KeyState> {
+    pub fn get(&self, key: &RequestKey) -> Option<KeyState> {
         self.ledger.get(key)
     }
 
@@ -223,7 +223,7 @@
         if let Some(refused) = self.judge(&key, unix_ms) {
             return self.reply(asker, refused);
         }
-        if let Some(state) = self.ledger.get(&key).cloned() {
+        if let Some(state) = self.ledger.get(&key) {
             return self.reply(asker, Claimed::Lost(state));
         }
         self.attempts += 1;
@@ -416,7 +416,7 @@
             return self.release_given_up(now_ms, claim, owner);
         };
         let claimed = match self.ledger.get(&pending.key) {
-            Some(state) if state.owner() != owner => Claimed::Lost(state.clone()),
+            Some(state) if state.owner() != owner => Claimed::Lost(state),
             _ => {
                 self.held.insert(owner);
                 Claimed::Won { owner, fence: offset }
@@ -431,8 +431,7 @@
     /// A claim can stand twice in the log, when the answer to its append was
     /// lost; the second copy says nothing of a claim that is held.
     fn release_given_up(&mut self, now_ms: u64, claim: &Claim, owner: Owner) {
-        let holds = matches!(self.ledger.get(&claim.key),
-            Some(KeyState::Claimed { owner: winner, .. }) if *winner == owner);
+        let holds = self.ledger.is_open(&claim.key, owner);
         let own = owner.incarnation == self.incarnation;
         if holds && own && !self.held.contains(&owner) {
             self.end(now_ms, claim.key.clone(), owner, Verdict::NotRun, None);
--- a/crates/domain/src/catalog.rs
+++ b/crates/domain/src/catalog.rs
@@ -3,7 +3,7 @@
 //! Every instance applies the same records in the same order, so that racing
 //! operators get one winner; see [configuration](../../../docs/configuration.md).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -62,16 +62,47 @@
     },
 }
 
+/// All resources by type and name.
+type Resources = BTreeMap<ResourceType, BTreeMap<String, Resource>>;
+
 /// All resources in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Stored", into = "Stored")]
 pub struct Catalog {
-    resources: BTreeMap<ResourceType, BTreeMap<String, Resource>>,
+    resources: Resources,
+    /// The organisation that has an API key, by the key's hash.
+    key_owners: HashMap<String, String>,
+}
+
+/// What is written of a catalog; the rest is derived from it.
+#[derive(Clone, Serialize, Deserialize)]
+struct Stored {
+    resources: Resources,
+}
+
+impl From<Catalog> for Stored {
+    fn from(catalog: Catalog) -> Self {
+        Self { resources: catalog.resources }
+    }
+}
+
+impl From<Stored> for Catalog {
+    fn from(stored: Stored) -> Self {
+        let mut catalog = Self { resources: stored.resources, key_owners: HashMap::new() };
+        let owners: Vec<(String, String)> = catalog
+            .organisations()
+            .flat_map(|(name, org)| org.key_hashes.iter().map(|h| (h.clone(), name.to_owned())))
+            .collect();
+        catalog.key_owners.extend(owners);
+        catalog
+    }
 }
 
 impl Catalog {
     /// Applies a change; its offset becomes the version of the resource.
     pub fn apply(&mut self, change: &Change, offset: u64) -> Result<(), ChangeError> {
         self.check(change)?;
+        self.index_keys(change);
         let of_type = self.resources.entry(change.name.type_).or_default();
         match &change.operation {
             Operation::Put(spec) => {
@@ -86,6 +117,24 @@
         Ok(())
     }
 
+    /// Keeps the owners of API keys true for a change that is about to be applied.
+    fn index_keys(&mut self, change: &Change) {
+        if change.name.type_ != ResourceType::Organisation {
+            return;
+        }
+        let before = self.get(&change.name).map(|r| r.spec.clone());
+        if let Some(Spec::Organisation(org)) = before {
+            for hash in &org.key_hashes {
+                self.key_owners.remove(hash);
+            }
+        }
+        if let Operation::Put(Spec::Organisation(org)) = &change.operation {
+            for hash in &org.key_hashes {
+                self.key_owners.insert(hash.clone(), change.name.name.clone());
+            }
+        }
+    }
+
     /// Says whether a change could be applied now.
     pub fn check(&self, change: &Change) -> Result<(), ChangeError> {
         self.check_version(change)?;
@@ -209,10 +258,7 @@
             if !hex {
                 return Err("key_hashes: expected 64 hexadecimal digits each".to_owned());
             }
-            let other = self
-                .organisations()
-                .find(|(other, o)| *other != name && o.key_hashes.contains(hash));
-            if let Some((other, _)) = other {
+            if let Some(other) = self.key_owners.get(hash).filter(|owner| *owner != name) {
                 return Err(format!("key_hashes: one is taken by organisation {other:?}"));
             }
         }
@@ -298,6 +344,22 @@
         assert_eq!(err.to_string(), "tier \"urgent\" is used by kind \"quote\"");
     }
 
+    #[test]
+    fn an_api_key_belongs_to_one_organisation_also_after_a_snapshot() {
+        let org = |key: &str| {
+            let key_hashes = vec![crate::hash_api_key(key)];
+            Spec::Organisation(Organisation { key_hashes, weight: 1 })
+        };
+        let mut catalog = Catalog::default();
+        catalog.apply(&put("naran", org("k1"), None), 1).unwrap();
+        let text = serde_json::to_string(&catalog).unwrap();
+        let mut catalog: Catalog = serde_json::from_str(&text).unwrap();
+        let err = catalog.apply(&put("delta", org("k1"), None), 2).unwrap_err();
+        assert!(err.to_string().contains("taken by organisation \"naran\""), "{err}");
+        catalog.apply(&put("naran", org("k2"), None), 3).unwrap();
+        catalog.apply(&put("delta", org("k1"), None), 4).unwrap();
+    }
+
     #[test]
     fn an_error_names_the_key_and_the_range() {
         let err = Catalog::default().apply(&put("slow", tier(16), None), 1).unwrap_err();
--- /dev/null
+++ b/crates/entry/examples/footprint.rs
@@ -0,0 +1,136 @@
+//! Memory of what grows, by item.
+//!
+//! `cargo run --release --example footprint`
+
+use std::{fs, time::Instant};
+
+use baobabvane_claims::{KeyPolicy, Pace, ReadBatch, ReadRecord, Writer};
+use baobabvane_decide::{
+    Core, Descriptor, EndpointKey, EndpointSpec, Event, KindId, OrgId, Policy, Ticket,
+};
+use baobabvane_domain::{
+    Catalog, Change, Claim, Entry, Incarnation, Operation, Organisation, RequestKey, ResourceName,
+    ResourceType, Spec, Uuid, hash_api_key,
+};
+use baobabvanectl::Table;
+use slotmap::SlotMap;
+
+const ORGANISATIONS: u64 = 12_000;
+const WAITING: u64 = 20_000;
+const KEYS: u64 = 100_000;
+/// The kernel counts memory in pages.
+const PAGE_BYTES: u64 = 4096;
+
+fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").expect("the kernel tells");
+    let pages = statm.split_whitespace().nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.expect("a number of pages") * PAGE_BYTES
+}
+
+/// Makes something and returns it with the bytes and seconds that it took.
+fn measure<T>(table: &mut Table, what: &str, items: u64, make: impl FnOnce() -> T) -> T {
+    let before = resident_bytes();
+    let start = Instant::now();
+    let made = make();
+    let bytes = resident_bytes().saturating_sub(before);
+    table.row([
+        what.to_owned(),
+        items.to_string(),
+        (bytes / 1024).to_string(),
+        (bytes / items).to_string(),
+        format!("{:.2}", start.elapsed().as_secs_f64() * 1e6 / items as f64),
+    ]);
+    made
+}
+
+fn descriptor(org: u64) -> Descriptor {
+    Descriptor {
+        rank: (org % 4) as u8,
+        org: OrgId(org),
+        weight: 1,
+        kind: KindId(0),
+        prompt_tokens: 2_000,
+        answer_tokens: 100,
+        prefix: (0..8).map(|b| org * 8 + b).collect(),
+        deadline: 1e9,
+        streamed: true,
+        failed_at: Default::default(),
+    }
+}
+
+/// A core whose only endpoint is full, so that all else waits.
+fn full_core() -> Core {
+    let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+    let mut core = Core::new(Policy { shedding: false, ..Policy::default() });
+    let spec = EndpointSpec { slots: 1, cache_blocks: 1_000 };
+    core.handle(0.0, Event::EndpointJoined(arena.insert(()), spec));
+    core.handle(0.0, Event::Offer(Ticket(0), descriptor(0)));
+    core
+}
+
+fn claim(n: u64, now_ms: u64) -> Entry {
+    let key = (u128::from(now_ms) << 80) | (7 << 76) | (2 << 62) | u128::from(n);
+    Entry::Claim(Claim {
+        key: RequestKey {
+            organisation: format!("organisation-{}", n % ORGANISATIONS),
+            kind: "booking".to_owned(),
+            key: Uuid::from_u128(key),
+        },
+        incarnation: Incarnation(Uuid::from_u128(n.into())),
+        attempt: n,
+        body_hash: n,
+    })
+}
+
+fn organisations() -> Catalog {
+    let mut catalog = Catalog::default();
+    for n in 0..ORGANISATIONS {
+        let name =
+            ResourceName { type_: ResourceType::Organisation, name: format!("organisation-{n}") };
+        let org = Organisation { key_hashes: vec![hash_api_key(n.to_string())], weight: 1 };
+        let change = Change {
+            id: Uuid::nil(),
+            who: "ann".to_owned(),
+            at_ms: 0,
+            name,
+            expected_version: None,
+            operation: Operation::Put(Spec::Organisation(org)),
+        };
+        catalog.apply(&change, n + 1).expect("the change is valid");
+    }
+    catalog
+}
+
+fn main() {
+    let mut table = Table::new(&["WHAT", "ITEMS", "KIB", "BYTES EACH", "US EACH"]);
+    let mut core = full_core();
+    measure(&mut table, "waiting requests, one organisation each", WAITING, || {
+        for n in 1..=WAITING {
+            core.handle(1.0, Event::Offer(Ticket(n), descriptor(n % ORGANISATIONS)));
+            while core.next_action().is_some() {}
+        }
+    });
+    let now_ms = 1_760_000_000_000;
+    let entries: Vec<Entry> = (0..KEYS).map(|n| claim(n, now_ms)).collect();
+    let json = serde_json::to_string(&entries).expect("string keys").len() as u64 / KEYS;
+    let records = entries
+        .chunks(100)
+        .enumerate()
+        .map(|(n, entries)| ReadRecord {
+            offset: n as u64 + 1,
+            at_unix_ms: now_ms,
+            entries: entries.to_vec(),
+        })
+        .collect::<Vec<_>>();
+    let end = records.len() as u64 + 1;
+    let batch = ReadBatch { records, oldest: 1, end };
+    let incarnation = Incarnation(Uuid::nil());
+    let mut writer: Writer<()> = Writer::new(incarnation, KeyPolicy::default(), Pace::default());
+    measure(&mut table, "keys in the ledger", KEYS, || writer.read(0, now_ms, &batch));
+    let catalog =
+        measure(&mut table, "organisations in the configuration", ORGANISATIONS, organisations);
+    let copy = measure(&mut table, "a copy of them for a view", ORGANISATIONS, || catalog.clone());
+    let snapshot = serde_json::to_string(&copy).expect("string keys").len();
+    println!("{table}");
+    println!("a claim is {json} bytes in the log, a snapshot {snapshot} bytes");
+}
--- a/crates/entry/src/tasks/claimant.rs
+++ b/crates/entry/src/tasks/claimant.rs
@@ -241,7 +241,7 @@
     }
 
     fn find(&self, keys: &[RequestKey]) -> Option<KeyState> {
-        keys.iter().find_map(|key| self.writer.get(key)).cloned()
+        keys.iter().find_map(|key| self.writer.get(key))
     }
 
     fn status(&self) -> ClaimStatus {
