floods: the daemon's order on real sockets

Change: the floods example: two instances, three engines, one organisation that floods with long work, then with quotes.

--- /dev/null
+++ b/crates/entry/examples/floods.rs
@@ -0,0 +1,186 @@
+//! The daemon's order under floods, on real sockets with stand-in engines.
+//!
+//! `cargo run --release --example floods`
+//!
+//! Prints what others keep of their goodput while one organisation floods with
+//! the least urgent kind of work, and with the most urgent one.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use baobabvane::{Embedded, Operator, Peer, Settings};
+use baobabvane_domain::{Endpoint, Spec};
+use baobabvane_standin::{Caller, Engine, EngineSpeed, LogService, free_addresses};
+use baobabvanectl::{Manifest, OperatorClient, Table};
+use futures::future::join_all;
+use monoio::time::{Instant, sleep, sleep_until};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+
+const TOKEN: &str = "floods-token";
+const RUN: Duration = Duration::from_secs(12);
+/// Quotes a second of the organisations that do not flood, together.
+const QUOTE_RATE: f64 = 20.0;
+/// Assessments a second of the organisations that do not flood, together.
+const ASSESSMENT_RATE: f64 = 0.5;
+const SLOW_INSTANCE_PAUSE: Duration = Duration::from_millis(10);
+
+/// One organisation's stream of requests.
+#[derive(Clone, Copy)]
+struct Stream {
+    key: &'static str,
+    model: &'static str,
+    tokens: u32,
+    per_second: f64,
+    seed: u64,
+}
+
+/// Requests that were answered in time, of all.
+#[derive(Clone, Copy, Default)]
+struct Goodput {
+    good: usize,
+    all: usize,
+}
+
+impl Goodput {
+    fn share(self) -> f64 {
+        self.good as f64 / self.all.max(1) as f64
+    }
+}
+
+struct Fleet {
+    instances: Vec<Embedded>,
+    _engines: Vec<Engine>,
+    _log: LogService,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let log = LogService::spawn();
+        let engines: Vec<Engine> = [2_000, 4_000, 8_000]
+            .map(|decode_us| Engine::spawn(EngineSpeed { prefill_us: 20, decode_us }))
+            .into();
+        let addresses = free_addresses(2);
+        let peer = |n: usize| Peer {
+            name: format!("entry-{n}"),
+            zone: "zone-a".to_owned(),
+            address: addresses[n],
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let instance = |n: usize| {
+            let settings = Settings {
+                name: format!("entry-{n}"),
+                zone: "zone-a".to_owned(),
+                listen: any,
+                operator_listen: any,
+                log: Some(log.address()),
+                peer_listen: Some(addresses[n]),
+                peer_secret: "floods-secret".to_owned(),
+                peers: vec![peer(1 - n)],
+                operators: vec![Operator::new("ann", TOKEN)],
+                ..Settings::default()
+            };
+            Embedded::spawn(settings).expect("port 0 is free")
+        };
+        let instances: Vec<Embedded> = (0..2).map(instance).collect();
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/floods.toml");
+        let manifest = Manifest::load(&file).expect("the file is valid");
+        let client = OperatorClient::new(instances[0].operators(), TOKEN).expect("ASCII");
+        while client.get("/v1/tiers").await.is_err() {
+            sleep(SLOW_INSTANCE_PAUSE).await;
+        }
+        for (name, spec) in manifest.resources() {
+            let spec = match (spec, name.name.strip_prefix("advice-")) {
+                (Spec::Endpoint(e), Some(n)) => {
+                    let n: usize = n.parse().expect("endpoints are numbered");
+                    Spec::Endpoint(Endpoint { address: engines[n].address(), ..e.clone() })
+                }
+                (spec, _) => spec.clone(),
+            };
+            client.put(name, &spec, None).await.expect("the resource is valid");
+        }
+        for instance in &instances {
+            let client = OperatorClient::new(instance.operators(), TOKEN).expect("ASCII");
+            while client.get("/v1/endpoints/advice-2").await.is_err() {
+                sleep(SLOW_INSTANCE_PAUSE).await;
+            }
+        }
+        Self { instances, _engines: engines, _log: log }
+    }
+
+    async fn run(&self, streams: &[Stream]) -> Vec<Goodput> {
+        join_all(streams.iter().map(|stream| self.stream(*stream))).await
+    }
+
+    async fn stream(&self, stream: Stream) -> Goodput {
+        let mut rng = SmallRng::seed_from_u64(stream.seed);
+        let start = Instant::now();
+        let mut at = start;
+        let mut calls = Vec::new();
+        for n in 0.. {
+            let gap: f64 = -rng.random_range(1e-9_f64..1.0).ln() / stream.per_second;
+            at += Duration::from_secs_f64(gap);
+            if at > start + RUN {
+                break;
+            }
+            let caller = Caller::new(self.instances[n % 2].callers(), stream.key);
+            let body = json!({"model": stream.model, "stream": true, "max_tokens": stream.tokens,
+                "messages": [{"role": "user", "content": format!("{} {n}", stream.model)}]});
+            calls.push(async move {
+                sleep_until(at).await;
+                let answer = caller.post("/v1/chat/completions", &body).await;
+                answer.is_ok_and(|a| a.status == 200 && a.body.ends_with(b"data: [DONE]\n\n"))
+            });
+        }
+        let ends = join_all(calls).await;
+        Goodput { good: ends.iter().filter(|good| **good).count(), all: ends.len() }
+    }
+}
+
+/// What the organisations send that do not flood.
+fn day() -> Vec<Stream> {
+    let quote = |key, share: f64, seed| Stream {
+        key,
+        model: "quote",
+        tokens: 20,
+        per_second: QUOTE_RATE * share,
+        seed,
+    };
+    let long = Stream {
+        key: "large-key",
+        model: "assessment",
+        tokens: 400,
+        per_second: ASSESSMENT_RATE,
+        seed: 3,
+    };
+    vec![quote("large-key", 0.85, 1), quote("small-key", 0.15, 2), long]
+}
+
+fn main() {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime needs only a descriptor");
+    runtime.block_on(async {
+        let fleet = Fleet::start().await;
+        let low = Stream {
+            key: "flood-key",
+            model: "assessment",
+            tokens: 400,
+            per_second: 60.0,
+            seed: 4,
+        };
+        let high =
+            Stream { key: "flood-key", model: "quote", tokens: 20, per_second: 900.0, seed: 5 };
+        let mut table =
+            Table::new(&["RUN", "LARGE'S QUOTES", "SMALL'S QUOTES", "ASSESSMENTS", "FLOOD"]);
+        for (name, flood) in [("calm", None), ("flood-low", Some(low)), ("greedy-org", Some(high))]
+        {
+            let streams: Vec<Stream> = day().into_iter().chain(flood).collect();
+            let goodput = fleet.run(&streams).await;
+            let share =
+                |n: usize| goodput.get(n).map_or("-".to_owned(), |g| format!("{:.3}", g.share()));
+            table.row([name.to_owned(), share(0), share(1), share(2), share(3)]);
+        }
+        println!("{table}");
+    });
+}
