--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -9,7 +9,11 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use http::{HeaderMap, HeaderValue, Method, Response, Version, header};
-use monoio::{io::AsyncWriteRentExt, net::TcpStream, time::timeout};
+use monoio::{
+    io::{AsyncWriteRentExt, stream::Stream},
+    net::TcpStream,
+    time::timeout,
+};
 use monoio_codec::FramedRead;
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 use socket2::{SockRef, TcpKeepalive};
@@ -108,9 +112,7 @@
     /// Reads the head of the answer to the request that was sent last.
     pub async fn read_head(&mut self, method: &Method) -> Result<Response<()>, WireError> {
         loop {
-            let head = monoio::io::stream::Stream::next(&mut self.framed)
-                .await
-                .ok_or(WireError::UnexpectedEof)??;
+            let head = self.framed.next().await.ok_or(WireError::UnexpectedEof)??;
             if head.status.is_informational() {
                 continue;
             }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
 use monoio::{
-    io::{AsyncWriteRent, AsyncWriteRentExt},
+    io::{AsyncWriteRent, AsyncWriteRentExt, stream::Stream},
     net::TcpStream,
     time::timeout,
 };
@@ -81,7 +81,7 @@
                 Err(_) => return Ok(None),
             }
         }
-        let head = match timeout(self.limits.head, self.framed.next_head()).await {
+        let head = match timeout(self.limits.head, self.framed.next()).await {
             Ok(None) => return self.closed_between_requests(),
             Ok(Some(head)) => head?,
             Err(_) => return Err(WireError::TimedOut { doing: "reading the head" }),
@@ -158,7 +158,7 @@
             Err(_) => true,
         };
         if !gone {
-            futures_pending().await;
+            std::future::pending::<()>().await;
         }
     }
 
@@ -235,20 +235,6 @@
 const LINGER_READS: usize = 256;
 const KEPT_BUFFER_BYTES: usize = 4096;
 
-/// Reads a head; a trait only to name the framed reader's `next` without its import.
-trait NextHead {
-    type Head;
-    async fn next_head(&mut self) -> Option<Result<Self::Head, WireError>>;
-}
-
-impl NextHead for FramedRead<TcpStream, StrictHead<RequestHeadDecoder>> {
-    type Head = http::request::Parts;
-
-    async fn next_head(&mut self) -> Option<Result<Self::Head, WireError>> {
-        monoio::io::stream::Stream::next(self).await
-    }
-}
-
 fn wants_keep_alive(version: Version, headers: &HeaderMap) -> bool {
     let connection = headers.get(header::CONNECTION).and_then(|c| c.to_str().ok()).unwrap_or("");
     let has = |token: &str| connection.split(',').any(|t| t.trim().eq_ignore_ascii_case(token));
@@ -258,10 +244,6 @@
     }
 }
 
-async fn futures_pending() {
-    std::future::pending::<()>().await;
-}
-
 /// Says whether a response to the method has no body, whatever its headers say.
 pub(crate) fn has_no_body(method: &Method, status: StatusCode) -> bool {
     method == Method::HEAD
