--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -101,9 +102,21 @@
     }
 }
 
-/// Returns addresses that were free a moment ago.
+/// Ports below those that the kernel gives to outgoing connections, so that none
+/// of these can take one between this call and its use.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+
+/// Returns addresses that are free now and that no other call returns.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    listeners.iter().map(|l| l.local_addr().expect("a bound socket has an address")).collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Processes begin at unlike places.
+    let start = std::process::id().wrapping_mul(97);
+    let draw = || {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST_PORT + number % PORTS) as u16;
+        SocketAddr::from(([127, 0, 0, 1], port))
+    };
+    let is_free = |address: &SocketAddr| TcpListener::bind(address).is_ok();
+    std::iter::repeat_with(draw).filter(is_free).take(count).collect()
 }
