faults: wait for an instance that is stopping; a test of leaving

Change: the harness looks until the instance is ready; a test checks that a leaving endpoint gets no work from any of three instances.

--- a/crates/entry/examples/faults.rs
+++ b/crates/entry/examples/faults.rs
@@ -209,15 +209,17 @@
             client.put(name, &spec, None).await.expect("the resource is valid");
         }
         for n in 0..INSTANCES {
-            self.wait_ready(n).await;
+            while !self.is_ready(n).await {
+                sleep(Duration::from_millis(5)).await;
+            }
         }
     }
 
-    async fn wait_ready(&self, n: usize) {
+    /// Says whether an instance runs, does not stop and knows the configuration.
+    async fn is_ready(&self, n: usize) -> bool {
         let client = OperatorClient::new(self.instances[n].operators, TOKEN).expect("ASCII");
-        while client.get("/v1/endpoints/bookings").await.is_err() {
-            sleep(Duration::from_millis(5)).await;
-        }
+        let status = client.get("/v1/status").await.unwrap_or_default();
+        status["ready"] == true && status["configuration"]["version"].as_u64() > Some(0)
     }
 
     fn caller(&self, n: usize) -> Caller {
@@ -361,14 +363,14 @@
 
     async fn restart_dead(&mut self) {
         for n in 0..INSTANCES {
-            let instance = &mut self.instances[n];
-            if instance.process.has_ended() {
-                instance.restart();
+            // One that is stopping may end at any moment.
+            while !self.is_ready(n).await {
+                if self.instances[n].process.has_ended() {
+                    self.instances[n].restart();
+                }
+                sleep(Duration::from_millis(5)).await;
             }
         }
-        for n in 0..INSTANCES {
-            self.wait_ready(n).await;
-        }
     }
 
     fn judge(
--- a/crates/entry/tests/testsuite/many.rs
+++ b/crates/entry/tests/testsuite/many.rs
@@ -129,3 +129,42 @@
         assert_eq!(fleet.engines["advice-1"].most_running(), 4, "the endpoint has 4 slots");
     });
 }
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work_from_any_instance_once_that_is_accepted() {
+    let fleet = Fleet::new()
+        .engine("advice-1", 0, 1_000)
+        .engine("advice-2", 0, 1_000)
+        .instances(&ZONE_A)
+        .apply("two-engines.toml", "entry-a1");
+    block_on(async {
+        let call = |n: usize| {
+            let caller = fleet.caller(ZONE_A[n % 3].0);
+            async move {
+                let body = chat("quote", &format!("awning {n:02}"), 5, true);
+                caller.post("/v1/chat/completions", &body).await.expect("an answer").status
+            }
+        };
+        let before = join_all((0..12).map(call)).await;
+        assert!(before.iter().all(|status| *status == 200));
+        let name = baobabvane_domain::ResourceName {
+            type_: baobabvane_domain::ResourceType::Endpoint,
+            name: "advice-1".to_owned(),
+        };
+        let spec = baobabvane_domain::Spec::Endpoint(baobabvane_domain::Endpoint {
+            address: fleet.engines["advice-1"].address(),
+            zone: "zone-a".to_owned(),
+            pool: "advice".to_owned(),
+            protocol: baobabvane_domain::Protocol::Model,
+            slots: 16,
+            cache_tokens: 0,
+            leaving: true,
+        });
+        let answer = fleet.operator("entry-a2").put(&name, &spec, None).await.expect("valid");
+        assert_eq!(answer["state"], "accepted", "{answer}");
+        let started = fleet.engines["advice-1"].started();
+        let after = join_all((0..30).map(call)).await;
+        assert!(after.iter().all(|status| *status == 200));
+        assert_eq!(fleet.engines["advice-1"].started(), started);
+    });
+}
