standin: the log limits appends; a broken stream's log line names its request

Cause: the stand-in had no rate limit, and one log line no request id. Change: both; a test of 200 bookings at once under 100 appends a second, which without batches would need 400.

--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -224,7 +224,8 @@
                 return broken;
             }
             Piece::Failed(failure) => {
-                log::warn!("event=stream_broken detail={:?}", failure.detail);
+                let id = sent.id();
+                log::warn!("event=stream_broken request_id={id} detail={:?}", failure.detail);
                 let _ = sent.failed(&failure);
                 return broken;
             }
--- a/crates/entry/tests/testsuite/serving.rs
+++ b/crates/entry/tests/testsuite/serving.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use baobabvane_standin::ServiceFaults;
+use baobabvane_standin::{LogFaults, ServiceFaults};
 use futures::future::join_all;
 use monoio::time::{sleep, timeout};
 
@@ -96,6 +96,26 @@
     });
 }
 
+#[test]
+fn a_log_that_limits_appends_gets_batches() {
+    let fleet = fleet();
+    let limited = LogFaults { appends_per_second: 100, ..LogFaults::default() };
+    fleet.log.as_ref().expect("the fleet has a log").set_faults(limited);
+    block_on(async {
+        let book = |n: u64| {
+            let caller = fleet.caller("entry-a").with("idempotency-key", &new_key());
+            async move {
+                sleep(Duration::from_millis(n)).await;
+                caller.send(http::Method::POST, "/v1/kinds/booking/orders", "{}").await
+            }
+        };
+        for answer in join_all((0..200).map(book)).await {
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+        assert_eq!(fleet.services["bookings"].calls(), 200);
+    });
+}
+
 #[test]
 fn many_streams_get_their_own_answers() {
     let fleet = Fleet::new()
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -33,6 +33,8 @@
     pub delay: Duration,
     /// Records that each stream keeps; 0 keeps all.
     pub retention: usize,
+    /// Appends taken in a second, others are answered 429; 0 takes all.
+    pub appends_per_second: u32,
 }
 
 /// A running log service.
@@ -48,6 +50,8 @@
     streams: HashMap<String, Vec<LogRecord>>,
     dropped: HashMap<String, u64>,
     appends: u64,
+    /// The second that is counted, and the appends in it.
+    counted: (u64, u32),
 }
 
 impl LogService {
@@ -90,6 +94,17 @@
 }
 
 impl Shared {
+    /// Counts an append; false when the second's are spent.
+    fn is_within_rate(&mut self) -> bool {
+        let second = unix_ms() / 1_000;
+        if self.counted.0 != second {
+            self.counted = (second, 0);
+        }
+        self.counted.1 += 1;
+        let rate = self.faults.appends_per_second;
+        rate == 0 || self.counted.1 <= rate
+    }
+
     fn append(&mut self, stream: &str, data: String) -> u64 {
         self.appends += 1;
         let records = self.streams.entry(stream.to_owned()).or_default();
@@ -170,6 +185,9 @@
         if faults.refuse {
             return conn.write_response(json_response(503, "{}".to_owned())).await.is_ok();
         }
+        if !self.shared.lock().expect("no holder panics").is_within_rate() {
+            return conn.write_response(json_response(429, "{}".to_owned())).await.is_ok();
+        }
         if !faults.delay.is_zero() {
             sleep(faults.delay).await;
         }
