claims, entry: one way to name an owner and to read a token

Change: Owner::of_claim and of_outcome, bearer_token; fetch, Core::is_open and Core::waiting are gone. Behaviour is the same.

--- a/crates/claims/src/ledger.rs
+++ b/crates/claims/src/ledger.rs
@@ -16,6 +16,18 @@
     pub attempt: u64,
 }
 
+impl Owner {
+    /// Returns whose claim it is.
+    pub(crate) fn of_claim(claim: &Claim) -> Self {
+        Self { incarnation: claim.incarnation, attempt: claim.attempt }
+    }
+
+    /// Returns whose claim's outcome it is.
+    pub(crate) fn of_outcome(outcome: &Outcome) -> Self {
+        Self { incarnation: outcome.incarnation, attempt: outcome.attempt }
+    }
+}
+
 /// What the log says of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeyState {
@@ -151,13 +163,13 @@
         if self.keys.contains_key(&digest) {
             return;
         }
-        let owner = Owner { incarnation: claim.incarnation, attempt: claim.attempt };
+        let owner = Owner::of_claim(claim);
         self.by_issue.entry(issued_at_ms(claim.key.key)).or_default().push(digest);
         self.keys.insert(digest, Held { owner, body_hash: claim.body_hash, ended: None });
     }
 
     fn apply_outcome(&mut self, outcome: &Outcome) {
-        let owner = Owner { incarnation: outcome.incarnation, attempt: outcome.attempt };
+        let owner = Owner::of_outcome(outcome);
         if !self.is_open(&outcome.key, owner) {
             return;
         }
--- a/crates/claims/src/writer.rs
+++ b/crates/claims/src/writer.rs
@@ -390,7 +390,7 @@
     /// Says whether an entry is a claim that nobody waits for any more.
     fn is_given_up(&self, entry: &Entry) -> bool {
         let Entry::Claim(claim) = entry else { return false };
-        let owner = Owner { incarnation: claim.incarnation, attempt: claim.attempt };
+        let owner = Owner::of_claim(claim);
         !self.pending.contains_key(&owner) && !self.unlogged.contains(&claim.key)
     }
 
@@ -407,11 +407,11 @@
 
     /// Tells the asker who won, once the log says so.
     fn settle(&mut self, now_ms: u64, entry: &Entry, offset: u64) {
-        if let Entry::Outcome(Outcome { incarnation, attempt, .. }) = entry {
-            self.held.remove(&Owner { incarnation: *incarnation, attempt: *attempt });
+        if let Entry::Outcome(outcome) = entry {
+            self.held.remove(&Owner::of_outcome(outcome));
         }
         let Entry::Claim(claim) = entry else { return };
-        let owner = Owner { incarnation: claim.incarnation, attempt: claim.attempt };
+        let owner = Owner::of_claim(claim);
         let Some(pending) = self.pending.remove(&owner) else {
             return self.release_given_up(now_ms, claim, owner);
         };
@@ -447,9 +447,7 @@
 
 fn claim_owner(entry: &Entry) -> Option<Owner> {
     match entry {
-        Entry::Claim(claim) => {
-            Some(Owner { incarnation: claim.incarnation, attempt: claim.attempt })
-        }
+        Entry::Claim(claim) => Some(Owner::of_claim(claim)),
         _ => None,
     }
 }
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -141,16 +141,6 @@
         self.queue.get(ticket).is_some()
     }
 
-    /// Says whether the endpoint's breaker keeps work from it.
-    pub fn is_open(&self, key: EndpointKey) -> bool {
-        self.endpoints.get(key).is_some_and(|e| e.breaker.is_open())
-    }
-
-    /// Returns how many requests of a tier wait, and how many of less urgent ones.
-    pub fn waiting(&self, rank: Rank) -> (u32, u32) {
-        (self.queue.tier_len(rank), self.queue.len_below(rank))
-    }
-
     /// Returns numbers for metrics and status.
     pub fn counts(&self) -> Counts {
         let open = self.endpoints.values().filter(|e| e.breaker.is_open()).count();
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -9,5 +9,6 @@
 mod run;
 mod sse;
 
+pub(crate) use admission::bearer_token;
 pub(crate) use connection::{accept, problem_response};
 pub(crate) use context::Context;
--- a/crates/entry/src/caller/admission.rs
+++ b/crates/entry/src/caller/admission.rs
@@ -13,14 +13,15 @@
 /// Lets a caller wait for less than the kind of work allows.
 const DEADLINE_MS: &str = "baobabvane-deadline-ms";
 
+/// Returns the token of the `authorization` header.
+pub(crate) fn bearer_token(headers: &HeaderMap) -> Option<&str> {
+    headers.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
 /// Finds the organisation by the API key.
 pub(crate) fn organisation(cx: &Context, headers: &HeaderMap) -> Result<Rc<OrgView>, Problem> {
     let view = cx.published.get();
-    let key = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
-    let Some(key) = key else {
+    let Some(key) = bearer_token(headers) else {
         let detail = "header \"authorization\" must be \"Bearer\" and an API key";
         return Err(Problem::not_run(401, "unauthorised", detail));
     };
--- a/crates/entry/src/operator/connection.rs
+++ b/crates/entry/src/operator/connection.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::{
-    caller::problem_response,
+    caller::{bearer_token, problem_response},
     operator::{OperatorContext, resources, watch},
     request::RequestId,
     settings::Operator,
@@ -73,12 +73,7 @@
 }
 
 fn authorise(cx: &OperatorContext, req: &HttpRequest) -> Result<Operator, Problem> {
-    let token = req
-        .headers()
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
-    let hash = token.map(baobabvane_domain::hash_api_key);
+    let hash = bearer_token(req.headers()).map(baobabvane_domain::hash_api_key);
     let known = cx.caller.settings.operators.iter().find(|o| Some(&o.token_hash) == hash.as_ref());
     known
         .cloned()
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -19,7 +19,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::{
-    Request, WireError,
+    WireError,
     body::Body,
     decode::{Framing, StrictHead, framing},
     encode::{self, Length},
@@ -177,17 +177,3 @@
         .is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"));
     version == Version::HTTP_11 && !closes
 }
-
-/// Sends one request on a new connection and reads the whole answer.
-pub async fn fetch(
-    connector: Connector,
-    req: Request,
-    max_bytes: usize,
-) -> Result<Response<Bytes>, WireError> {
-    let mut conn = connector.connect().await?;
-    let (head, body) = req.into_parts();
-    conn.send(&head.method, &head.uri, &head.headers, body).await?;
-    let answer = conn.read_head(&head.method).await?;
-    let body = conn.read_body(max_bytes).await?;
-    Ok(answer.map(|()| body))
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 mod error;
 mod server;
 
-pub use client::{ClientConn, Connector, fetch};
+pub use client::{ClientConn, Connector};
 pub use error::WireError;
 pub use server::{Limits, ServerConn};
 
