--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -15,7 +15,10 @@
     budget::RetryBudget,
     choose::{Chooser, Draw},
     endpoint::Endpoint,
-    event::{Action, Descriptor, EndpointKey, Event, KindId, Millis, Rank, Refusal, Ticket, Why},
+    event::{
+        Action, Descriptor, Elsewhere, EndpointKey, Event, KindId, Millis, Rank, Refusal, Ticket,
+        Why,
+    },
     learn::{Average, Rate},
     policy::{Placement, Policy, TierPolicy},
     prefix::PrefixIndex,
@@ -123,6 +126,12 @@
                 }
                 self.refresh(key);
             }
+            Event::Shared(key, elsewhere) => {
+                if let Some(endpoint) = self.endpoints.get_mut(key) {
+                    endpoint.set_elsewhere(elsewhere);
+                }
+                self.refresh(key);
+            }
             Event::CacheStored(key, blocks) => self.prefixes.store(key, &blocks),
             Event::CacheDropped(key, blocks) => self.prefixes.drop_blocks(key, &blocks),
             Event::NeighbourRoom(room) => self.neighbour_room = room,
@@ -141,6 +150,12 @@
         self.queue.get(ticket).is_some()
     }
 
+    /// Lists what this core has at its endpoints, leaving out those that are idle.
+    pub fn loads(&self) -> impl Iterator<Item = (EndpointKey, Elsewhere)> {
+        let busy = self.endpoints.iter().filter(|(_, e)| e.in_flight() > 0);
+        busy.map(|(key, e)| (key, e.load()))
+    }
+
     /// Returns numbers for metrics and status.
     pub fn counts(&self) -> Counts {
         let open = self.endpoints.values().filter(|e| e.breaker.is_open()).count();
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     breaker::Breaker,
-    event::{EndpointSpec, Millis, Report},
+    event::{Elsewhere, EndpointSpec, Millis, Report},
     learn::{Average, Line},
     limit::Limit,
 };
@@ -78,6 +78,7 @@
     reported: u32,
     foreign: f64,
     foreign_at: Millis,
+    elsewhere: Elsewhere,
     peaks: Peaks,
 }
 
@@ -124,6 +125,7 @@
             reported: 0,
             foreign: 0.0,
             foreign_at: now,
+            elsewhere: Elsewhere::default(),
             peaks: Peaks::default(),
         }
     }
@@ -151,7 +153,18 @@
         let limit = if self.adaptive { self.limit.get() } else { self.slots };
         let age = now - self.foreign_at;
         let foreign = self.foreign * (-age / REPORT_HALF_LIFE_MS).exp2();
-        limit.saturating_sub(foreign.round() as u32).max(1)
+        let others = (foreign.round() as u32).max(self.elsewhere.requests);
+        limit.saturating_sub(others).max(1)
+    }
+
+    /// Takes over what other schedulers have at the endpoint now.
+    pub(crate) fn set_elsewhere(&mut self, elsewhere: Elsewhere) {
+        self.elsewhere = elsewhere;
+    }
+
+    /// Returns what this scheduler has at the endpoint, for the others.
+    pub(crate) fn load(&self) -> Elsewhere {
+        Elsewhere { requests: self.in_flight, unread_tokens: self.unread_tokens }
     }
 
     pub(crate) fn in_flight(&self) -> u32 {
@@ -169,7 +182,8 @@
 
     /// Estimates the time to the first token of a prompt with unread tokens.
     pub(crate) fn first_token_ms(&self, unread_tokens: u32) -> Millis {
-        let tokens = f64::from(self.unread_tokens) + f64::from(unread_tokens);
+        let ahead = f64::from(self.unread_tokens) + f64::from(self.elsewhere.unread_tokens);
+        let tokens = ahead + f64::from(unread_tokens);
         self.base_ms.get() + tokens * self.prefill_ms.get()
     }
 
@@ -179,7 +193,7 @@
 
     /// Estimates the time between two tokens with one more request in flight.
     pub(crate) fn decode_ms(&self) -> Millis {
-        self.decode_ms.at(f64::from(self.in_flight + 1))
+        self.decode_ms.at(f64::from(self.in_flight + self.elsewhere.requests + 1))
     }
 
     /// Says whether the endpoint holds a long request in any phase.
@@ -200,11 +214,11 @@
             at: now,
             expected_ms: self.first_token_ms(order.unread_tokens),
             unread_tokens: order.unread_tokens,
-            ahead_tokens: self.unread_tokens,
+            ahead_tokens: self.unread_tokens + self.elsewhere.unread_tokens,
             long_prefill: order.long_prefill,
             is_long: order.is_long,
             deadline: order.deadline,
-            in_flight: self.in_flight,
+            in_flight: self.in_flight + self.elsewhere.requests,
             streamed: order.streamed,
             is_read: false,
             first_token_at: None,
@@ -233,7 +247,8 @@
     }
 
     pub(crate) fn finish(&mut self, now: Millis, sent: &mut Sent, answer_tokens: u32) {
-        let mean_in_flight = f64::from(sent.in_flight + self.in_flight) / 2.0;
+        let in_flight = self.in_flight + self.elsewhere.requests;
+        let mean_in_flight = f64::from(sent.in_flight + in_flight) / 2.0;
         self.release(sent);
         self.heard_at = now;
         self.breaker.succeeded();
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -76,6 +76,15 @@
     pub age_ms: Millis,
 }
 
+/// What other schedulers have at an endpoint, as they say themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Elsewhere {
+    /// Their requests in flight.
+    pub requests: u32,
+    /// Prompt tokens of these that are not read yet.
+    pub unread_tokens: u32,
+}
+
 /// How a dispatched request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
@@ -113,6 +122,8 @@
     EndpointGone(EndpointKey),
     /// An endpoint reported its load.
     Reported(EndpointKey, Report),
+    /// Other schedulers said what they have at an endpoint.
+    Shared(EndpointKey, Elsewhere),
     /// An endpoint's cache now holds blocks; late and with gaps.
     CacheStored(EndpointKey, PrefixBlocks),
     /// An endpoint's cache dropped blocks; late and with gaps.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,8 +34,8 @@
 pub use crate::{
     core::{Core, Counts},
     event::{
-        Action, Choice, Descriptor, Ending, EndpointKey, EndpointSpec, Event, FailedAt, KindId,
-        Millis, OrgId, PrefixBlocks, Rank, Refusal, Report, Ticket, Why,
+        Action, Choice, Descriptor, Elsewhere, Ending, EndpointKey, EndpointSpec, Event, FailedAt,
+        KindId, Millis, OrgId, PrefixBlocks, Rank, Refusal, Report, Ticket, Why,
     },
     policy::{Placement, Policy, TierPolicy},
 };
--- /dev/null
+++ b/crates/entry/src/cmd/gateway.rs
@@ -0,0 +1,61 @@
+//! `baobabvane gateway`: runs an instance on the users' platform.
+
+use std::{
+    error::Error,
+    path::PathBuf,
+    rc::Rc,
+    sync::{Arc, atomic::AtomicBool},
+};
+
+use baobabvane_gateway::StopHandle;
+use baobabvane_platform::Options;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
+};
+
+/// Declares the subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("gateway")
+        .about("Serves callers by the routes and endpoints of the platform's store")
+        .arg(
+            Arg::new("settings-file")
+                .long("settings-file")
+                .env("BAOBABVANE_SETTINGS")
+                .value_parser(value_parser!(PathBuf))
+                .default_value("/etc/baobabvane/node.conf")
+                .help("The settings file that the platform writes"),
+        )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .env("BAOBABVANE_METRICS_PORT")
+                .value_parser(value_parser!(u16))
+                .help("Port of the metrics on the instance's own address; none means nowhere"),
+        )
+}
+
+/// Serves until SIGTERM or SIGINT, and ends when the last running answer is whole.
+pub(crate) fn execute(args: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let options = Options {
+        settings: args.get_one::<PathBuf>("settings-file").cloned().unwrap_or_default(),
+        metrics_port: args.get_one::<u16>("metrics-port").copied(),
+        stop: StopHandle::default(),
+        reload: Arc::new(AtomicBool::new(false)),
+    };
+    for signal in [SIGTERM, SIGINT] {
+        flag::register(signal, options.stop.flag())?;
+    }
+    flag::register(SIGHUP, Arc::clone(&options.reload))?;
+    let metrics = baobabvane::install_metrics();
+    let render = Rc::new(move || metrics.render());
+    // The library's default would pick io_uring where the kernel has it.
+    let mut runtime =
+        monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build()?;
+    let cut = runtime.block_on(baobabvane_platform::serve(options, render))?;
+    if cut > 0 {
+        return Err(format!("{cut} requests were cut off when the grace period ran out").into());
+    }
+    Ok(())
+}
--- a/crates/entry/src/cmd/mod.rs
+++ b/crates/entry/src/cmd/mod.rs
@@ -1,4 +1,5 @@
 //! The subcommands, one module each.
 
 pub(crate) mod check;
+pub(crate) mod gateway;
 pub(crate) mod serve;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -13,8 +13,8 @@
 };
 
 use baobabvane_domain::{Incarnation, Uuid};
+use baobabvane_log::{HttpLog, LogClient, MemoryLog};
 use baobabvane_members::SharedKey;
-use baobabvane_platform::{HttpLog, LogClient, MemoryLog};
 use monoio::{
     net::{ListenerOpts, TcpListener},
     time::{Instant, sleep},
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -10,6 +10,7 @@
     baobabvane::install_logger();
     let matches = create_command().get_matches();
     let result = match matches.subcommand() {
+        Some(("gateway", args)) => cmd::gateway::execute(args),
         Some(("serve", args)) => cmd::serve::execute(args),
         Some(("check", args)) => cmd::check::execute(args),
         _ => unreachable!("clap requires a known subcommand"),
@@ -29,6 +30,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(cmd::gateway::make_subcommand())
         .subcommand(cmd::serve::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
 }
--- a/crates/entry/src/tasks/claimant.rs
+++ b/crates/entry/src/tasks/claimant.rs
@@ -8,7 +8,7 @@
     AppendEnd, Claimed, KeyPolicy, KeyState, Output, Owner, Pace, ReadBatch, ReadRecord, Writer,
 };
 use baobabvane_domain::{Answer, Entry, Incarnation, LogDown, RequestKey, Uuid, Verdict};
-use baobabvane_platform::{AppendError, Batch, LogClient, Stream};
+use baobabvane_log::{AppendError, Batch, LogClient, Stream};
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::{Instant, sleep, timeout};
 use serde::Serialize;
@@ -195,7 +195,7 @@
     }
 
     fn read(&mut self, batch: &Batch) {
-        let record = |r: &baobabvane_platform::LogRecord| ReadRecord {
+        let record = |r: &baobabvane_log::LogRecord| ReadRecord {
             offset: r.offset,
             at_unix_ms: r.at_ms,
             entries: decode(&r.data),
--- a/crates/entry/src/tasks/configurator.rs
+++ b/crates/entry/src/tasks/configurator.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use baobabvane_domain::{Change, ChangeError, Entry, InForce, Snapshot, Uuid};
-use baobabvane_platform::{AppendError, Batch, LogClient, Stream};
+use baobabvane_log::{AppendError, Batch, LogClient, Stream};
 use baobabvane_replica::{AuditEntry, Replica};
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::{Instant, sleep};
--- a/crates/entry/src/tasks/record.rs
+++ b/crates/entry/src/tasks/record.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use baobabvane_domain::Entry;
-use baobabvane_platform::{Batch, LogClient, Stream};
+use baobabvane_log::{Batch, LogClient, Stream};
 use monoio::time::sleep;
 
 /// How long one read of the log waits for news.
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -16,7 +16,7 @@
 }
 
 /// Installs the recorder of metrics; a process has one, shared by its instances.
-pub(crate) fn install_metrics() -> PrometheusHandle {
+pub fn install_metrics() -> PrometheusHandle {
     static HANDLE: std::sync::OnceLock<PrometheusHandle> = std::sync::OnceLock::new();
     let install = || {
         let recorder = PrometheusBuilder::new().build_recorder();
--- /dev/null
+++ b/crates/gateway/src/caller/exchange.rs
@@ -0,0 +1,590 @@
+//! Takes a request to an endpoint, and to another one where that is allowed.
+//!
+//! What may be repeated follows from the route: a request that may have run is
+//! sent again only if the route allows it, one that has surely not run may go on.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use baobabvane_decide::{Descriptor, Ending, EndpointKey, FailedAt, KindId, OrgId, Refusal};
+use baobabvane_domain::Verdict;
+use baobabvane_wire::{ClientConn, Response, WireError};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use monoio::time::{Instant, sleep, timeout};
+
+use super::{
+    admission::Incoming,
+    flight::{self, InFlight},
+    reply::Reply,
+};
+use crate::{
+    configuration::{QuotaUnit, Semantics},
+    context::Context,
+    headers::{self, LAST_EVENT_ID},
+    scheduler::{Grant, Order, Refused, Usage, id_hash},
+};
+
+/// An endpoint is given this much less time than is left, so that its own word that
+/// the time is over arrives in time.
+const ENDPOINT_MARGIN: Duration = Duration::from_millis(20);
+/// A request with less time left is not sent any more.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
+/// Endpoints that could not be reached at all before a request is given up.
+const MAX_UNREACHED: u32 = 4;
+/// Answers to other requests that are skipped on a connection.
+const MAX_SKIPPED: u32 = 3;
+/// The largest whole answer that is held, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// A caller that was refused for load comes back after the wait of its tier, within these.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_000);
+/// An endpoint that owes the first piece of an answer that may be repeated is given up
+/// after this many times the route's target.
+const SILENT_TARGETS: u32 = 4;
+/// It is given at least this long.
+const MIN_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// One request of a caller, over all endpoints that it is sent to.
+pub(super) struct Exchange<'a> {
+    pub(super) cx: &'a Context,
+    pub(super) incoming: Incoming,
+    /// Endpoints that were sent the request.
+    sent: Cell<u32>,
+    verdict: Cell<Verdict>,
+    failed_at: std::cell::RefCell<FailedAt>,
+}
+
+/// What the caller gets from an endpoint.
+pub(super) enum Answer {
+    /// The whole answer.
+    Whole(Response),
+    /// A stream of events that has begun.
+    Stream(Box<Stream>),
+}
+
+/// An answer whose events are still to come.
+pub(super) struct Stream {
+    pub(super) head: http::Response<()>,
+    pub(super) link: ClientConn,
+    pub(super) flight: InFlight,
+    pub(super) endpoint: EndpointKey,
+    pub(super) endpoint_id: String,
+}
+
+/// Why the caller gets no answer of an endpoint.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// No endpoint was found for it; it has not run.
+    Refused(Refused),
+    /// Every endpoint that it was sent to said that it did not run it.
+    NotRun(&'static str),
+    /// An endpoint may have run it.
+    MayHaveRun(&'static str),
+    /// The time is over.
+    TimedOut(Verdict),
+    /// The process is ending.
+    Stopping,
+}
+
+/// How one try at an endpoint ended without an answer for the caller.
+enum Missed {
+    /// Nothing was sent.
+    Unreached,
+    /// The endpoint said that it did not run the request.
+    NotRun(&'static str),
+    /// The endpoint may have run the request.
+    MayHaveRun(&'static str),
+    /// The endpoint ran the request and failed; its answer may be passed on.
+    Failed(Response),
+    /// No endpoint was granted.
+    Refused(Refused),
+    Stopping,
+}
+
+impl<'a> Exchange<'a> {
+    pub(super) fn new(cx: &'a Context, incoming: Incoming) -> Self {
+        Self {
+            cx,
+            incoming,
+            sent: Cell::new(0),
+            verdict: Cell::new(Verdict::NotRun),
+            failed_at: Default::default(),
+        }
+    }
+
+    /// Returns how long the caller still waits.
+    pub(super) fn time_left(&self) -> Duration {
+        self.incoming.patience.saturating_sub(self.incoming.began.elapsed())
+    }
+
+    /// Returns how many endpoints were sent the request.
+    pub(super) fn endpoints_tried(&self) -> u32 {
+        self.sent.get()
+    }
+
+    /// Returns the answer's beginning, or why there is none.
+    pub(super) async fn first_answer(&self) -> Result<Answer, Failure> {
+        let answer = self.try_endpoints(self.incoming.last_event_id, None);
+        monoio::select! {
+            answer = answer => answer,
+            () = sleep(self.time_left()) => Err(Failure::TimedOut(self.verdict.get())),
+        }
+    }
+
+    /// Continues a stream that broke off at another endpoint.
+    ///
+    /// Returns `None` when the route, the number of tries or the budget does not allow it.
+    pub(super) async fn resume(
+        &self,
+        last_event_id: Option<u64>,
+        failed: EndpointKey,
+    ) -> Option<Box<Stream>> {
+        self.failed_at.borrow_mut().push(failed);
+        if !self.may_repeat() {
+            return None;
+        }
+        let answer = self.try_endpoints(last_event_id, Some(failed));
+        let answer = timeout(self.time_left(), answer).await.ok()?;
+        match answer {
+            Ok(Answer::Stream(stream)) => Some(stream),
+            Ok(Answer::Whole(res)) => {
+                self.log("not_resumed", format_args!("status={}", res.status().as_u16()));
+                None
+            }
+            Err(failure) => {
+                self.log("not_resumed", format_args!("cause={failure:?}"));
+                None
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.incoming.route.may_repeat() && self.sent.get() < self.incoming.route.max_attempts
+    }
+
+    async fn try_endpoints(
+        &self,
+        last_event_id: Option<u64>,
+        failed: Option<EndpointKey>,
+    ) -> Result<Answer, Failure> {
+        let mut unreached = 0;
+        let mut is_repeat = failed.is_some();
+        let mut fallback: Option<Response> = None;
+        loop {
+            let missed = match self.try_once(last_event_id, is_repeat, unreached > 0).await {
+                Ok(answer) => return Ok(answer),
+                Err(missed) => missed,
+            };
+            let is_allowed = match missed {
+                Missed::Unreached => {
+                    unreached += 1;
+                    unreached < MAX_UNREACHED
+                }
+                Missed::NotRun(_) => self.sent.get() < self.incoming.route.max_attempts,
+                Missed::MayHaveRun(_) | Missed::Failed(_) => self.may_repeat(),
+                Missed::Refused(_) | Missed::Stopping => false,
+            };
+            is_repeat |= !matches!(missed, Missed::Unreached);
+            if !is_allowed {
+                return self.give_up(missed, fallback);
+            }
+            if let Missed::Failed(res) = missed {
+                fallback = Some(res);
+            }
+        }
+    }
+
+    fn give_up(&self, missed: Missed, fallback: Option<Response>) -> Result<Answer, Failure> {
+        let has_run = self.verdict.get() != Verdict::NotRun;
+        match (missed, fallback) {
+            (Missed::Failed(res), _) => Ok(Answer::Whole(res)),
+            (_, Some(res)) => Ok(Answer::Whole(res)),
+            (Missed::Stopping, _) => Err(Failure::Stopping),
+            (Missed::MayHaveRun(cause), _) => Err(Failure::MayHaveRun(cause)),
+            (Missed::Refused(_), _) if has_run => Err(Failure::MayHaveRun("an earlier try failed")),
+            (Missed::NotRun(_) | Missed::Unreached, _) if has_run => {
+                Err(Failure::MayHaveRun("an earlier try failed"))
+            }
+            (Missed::NotRun(cause), _) => Err(Failure::NotRun(cause)),
+            (Missed::Unreached, _) => Err(Failure::NotRun("no endpoint could be reached")),
+            (Missed::Refused(refused), _) => Err(Failure::Refused(refused)),
+        }
+    }
+
+    async fn try_once(
+        &self,
+        last_event_id: Option<u64>,
+        is_repeat: bool,
+        was_charged: bool,
+    ) -> Result<Answer, Missed> {
+        let order = self.order(is_repeat, was_charged);
+        let granted = flight::ask(&self.cx.scheduler, order).await.ok_or(Missed::Stopping)?;
+        let (grant, flight) = granted.map_err(Missed::Refused)?;
+        self.log_dispatched(&grant);
+        let endpoint = grant.endpoint;
+        let result = self.send(&grant, flight, last_event_id).await;
+        if let Err(missed) = &result {
+            self.failed_at.borrow_mut().push(endpoint);
+            self.log_missed(&grant, missed);
+        }
+        result
+    }
+
+    fn order(&self, is_repeat: bool, was_charged: bool) -> Order {
+        let Incoming { route, prompt, organisation, .. } = &self.incoming;
+        let rank = organisation.as_ref().and_then(|o| o.rank).unwrap_or(route.rank);
+        let is_stream = route.semantics == Semantics::Stream;
+        let descriptor = Descriptor {
+            rank,
+            org: OrgId(organisation.as_ref().map_or(0, |o| id_hash(&o.name).into())),
+            weight: 1,
+            kind: KindId(id_hash(&route.name)),
+            prompt_tokens: prompt.tokens,
+            answer_tokens: prompt.answer_tokens.max(1),
+            prefix: prompt.blocks.clone(),
+            deadline: self.time_left().as_secs_f64() * 1_000.0,
+            streamed: is_stream,
+            failed_at: self.failed_at.borrow().clone(),
+        };
+        Order {
+            ticket: self.cx.next_ticket(),
+            pool: Rc::clone(&self.incoming.pool),
+            descriptor,
+            usage: if was_charged || is_repeat { None } else { self.usage() },
+            is_repeat,
+        }
+    }
+
+    fn usage(&self) -> Option<Usage> {
+        let organisation = self.incoming.organisation.as_ref()?;
+        let units = match organisation.quota?.unit {
+            QuotaUnit::Requests => 1.0,
+            QuotaUnit::Tokens { default } => {
+                self.incoming.prompt.counted_tokens().unwrap_or(f64::from(default))
+            }
+        };
+        Some(Usage { organisation: Rc::clone(organisation), units })
+    }
+
+    async fn send(
+        &self,
+        grant: &Grant,
+        mut flight: InFlight,
+        last_event_id: Option<u64>,
+    ) -> Result<Answer, Missed> {
+        let Ok(mut link) = self.cx.links.get(grant.endpoint, grant.address).await else {
+            flight.end(Ending::Failed);
+            return Err(Missed::Unreached);
+        };
+        let time_left = self.time_left();
+        if time_left < MIN_TIME_LEFT {
+            flight.end(Ending::Cancelled);
+            return Err(Missed::Unreached);
+        }
+        let headers = self.headers_for(grant, time_left, last_event_id);
+        self.sent.set(self.sent.get() + 1);
+        let before = self.verdict.replace(Verdict::MayHaveRun);
+        let Incoming { method, uri, body, .. } = &self.incoming;
+        if let Err(e) = link.send(method, uri, &headers, body.clone()).await {
+            return Err(self.broken(flight, "the request could not be sent", &e));
+        }
+        let read = self.read_head(&mut link);
+        let head = match self.silence().is_some() {
+            true => timeout(self.silence().unwrap_or_default(), read).await,
+            false => Ok(read.await),
+        };
+        let head = match head {
+            Ok(Ok(head)) => head,
+            Ok(Err(e)) => return Err(self.broken(flight, "no answer", &e)),
+            Err(_) => {
+                flight.end(Ending::Failed);
+                return Err(Missed::MayHaveRun("the endpoint is silent"));
+            }
+        };
+        if let Some(requests) = headers::load(head.headers(), &self.cx.names.load) {
+            self.cx.scheduler.send(crate::scheduler::ToScheduler::Load(grant.endpoint, requests));
+        }
+        if head.headers().contains_key(&self.cx.names.not_executed)
+            || head.status() == StatusCode::MISDIRECTED_REQUEST
+        {
+            self.verdict.set(before);
+            return Err(self.not_executed(grant, flight, link, head).await);
+        }
+        if self.is_event_stream(&head) {
+            if !self.is_genuine(head.headers()) {
+                flight.end(Ending::Failed);
+                return Err(Missed::MayHaveRun("the answer is not the endpoint's"));
+            }
+            let endpoint_id = grant.id.clone();
+            return Ok(Answer::Stream(Box::new(Stream {
+                head,
+                link,
+                flight,
+                endpoint: grant.endpoint,
+                endpoint_id,
+            })));
+        }
+        flight.first_piece();
+        self.read_whole(grant, flight, link, head).await
+    }
+
+    /// How long an endpoint may be silent before the request is repeated elsewhere.
+    pub(super) fn silence(&self) -> Option<Duration> {
+        let target = Duration::from_millis(self.incoming.route.target_ms);
+        self.may_repeat_after_this().then(|| (target * SILENT_TARGETS).max(MIN_SILENCE))
+    }
+
+    fn may_repeat_after_this(&self) -> bool {
+        self.incoming.route.may_repeat() && self.sent.get() < self.incoming.route.max_attempts
+    }
+
+    fn is_event_stream(&self, head: &http::Response<()>) -> bool {
+        self.incoming.route.semantics == Semantics::Stream && head.status().is_success()
+    }
+
+    fn broken(&self, flight: InFlight, cause: &'static str, error: &WireError) -> Missed {
+        flight.end(Ending::Failed);
+        self.log("endpoint_failed", format_args!("cause={cause:?} error={:?}", error.to_string()));
+        Missed::MayHaveRun(cause)
+    }
+
+    async fn not_executed(
+        &self,
+        grant: &Grant,
+        flight: InFlight,
+        mut link: ClientConn,
+        head: http::Response<()>,
+    ) -> Missed {
+        // The endpoint's load says how full it is; its health is not in question.
+        flight.end(Ending::Lost);
+        if head.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.cx.scheduler.send(crate::scheduler::ToScheduler::Misdirected(grant.endpoint));
+            return Missed::NotRun("another endpoint has the address");
+        }
+        if link.read_body(MAX_ANSWER_BYTES).await.is_ok() {
+            self.cx.links.keep(grant.endpoint, link, head.headers());
+        }
+        Missed::NotRun("the endpoint did not run it")
+    }
+
+    /// Reads the head of the answer to this request, passing over answers to others.
+    async fn read_head(&self, link: &mut ClientConn) -> Result<http::Response<()>, WireError> {
+        for _ in 0..MAX_SKIPPED {
+            let head = link.read_head(&self.incoming.method).await?;
+            match head.headers().get(&self.cx.names.request_id) {
+                Some(id) if *id != self.incoming.id => {
+                    self.log("answer_skipped", format_args!("answers={id:?}"));
+                    link.read_body(MAX_ANSWER_BYTES).await?;
+                }
+                _ => return Ok(head),
+            }
+        }
+        Err(WireError::Malformed("answers to other requests".to_owned()))
+    }
+
+    async fn read_whole(
+        &self,
+        grant: &Grant,
+        flight: InFlight,
+        mut link: ClientConn,
+        head: http::Response<()>,
+    ) -> Result<Answer, Missed> {
+        let body = match link.read_body(MAX_ANSWER_BYTES).await {
+            Ok(body) => body,
+            Err(e) => return Err(self.broken(flight, "the answer broke off", &e)),
+        };
+        let (mut parts, ()) = head.into_parts();
+        let is_success = parts.status.is_success();
+        if is_success && !self.is_genuine(&parts.headers) {
+            flight.end(Ending::Failed);
+            return Err(Missed::MayHaveRun("the answer is not the endpoint's"));
+        }
+        self.cx.links.keep(grant.endpoint, link, &parts.headers);
+        self.clean(&mut parts.headers);
+        let res = Response::from_parts(parts, body);
+        if res.status().is_server_error() {
+            flight.end(Ending::Failed);
+            return Err(Missed::Failed(res));
+        }
+        flight.end(Ending::Whole { answer_tokens: 1 });
+        Ok(Answer::Whole(res))
+    }
+
+    /// Says whether a success carries what an endpoint's own answer carries.
+    fn is_genuine(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key(&self.cx.names.signature)
+            && headers.get(&self.cx.names.request_id) == Some(&self.incoming.id)
+            && !headers.contains_key(header::CONTENT_ENCODING)
+    }
+
+    /// Removes from an answer's headers what concerns the endpoint's connection only.
+    pub(super) fn clean(&self, headers: &mut HeaderMap) {
+        headers::remove_hop_by_hop(headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(&self.cx.names.load);
+    }
+
+    fn headers_for(
+        &self,
+        grant: &Grant,
+        time_left: Duration,
+        last_event_id: Option<u64>,
+    ) -> HeaderMap {
+        let mut headers = self.incoming.headers.clone();
+        let time = time_left.saturating_sub(ENDPOINT_MARGIN).max(MIN_TIME_LEFT);
+        let names = &self.cx.names;
+        headers.insert(&names.time_left, headers::from_number(time.as_millis() as u64));
+        if let Ok(id) = HeaderValue::from_str(&grant.id) {
+            headers.insert(&names.expected_endpoint, id);
+        }
+        if let Some(last) = last_event_id {
+            headers.insert(&LAST_EVENT_ID, headers::from_number(last));
+        }
+        headers
+    }
+
+    /// Returns the request's id for logs.
+    pub(super) fn id(&self) -> &str {
+        self.incoming.id.to_str().unwrap_or("-")
+    }
+
+    /// Writes one line on a decision about this request.
+    pub(super) fn log(&self, event: &str, details: std::fmt::Arguments<'_>) {
+        log::info!("event={event} request={} {details}", self.id());
+    }
+
+    fn log_dispatched(&self, grant: &Grant) {
+        let Incoming { route, version, pool, organisation, .. } = &self.incoming;
+        let organisation = organisation.as_ref().map_or("-", |o| o.name.as_str());
+        let why = &grant.why;
+        log::info!(
+            "event=dispatched request={} route={} organisation={organisation} pool={pool} \
+             endpoint={} expected_ms={:.0} cached_tokens={} waited_ms={:.0} waiting={} \
+             in_flight={} room={} time_left_ms={} version={version}",
+            self.id(),
+            route.name,
+            grant.id,
+            grant.expected_ms,
+            grant.cached_tokens,
+            why.waited_ms,
+            why.waiting_in_tier,
+            why.in_flight,
+            why.room,
+            self.time_left().as_millis(),
+        );
+    }
+
+    fn log_missed(&self, grant: &Grant, missed: &Missed) {
+        let (verdict, cause) = match missed {
+            Missed::Unreached => (Verdict::NotRun, "the endpoint could not be reached"),
+            Missed::NotRun(cause) => (Verdict::NotRun, *cause),
+            Missed::MayHaveRun(cause) => (Verdict::MayHaveRun, *cause),
+            Missed::Failed(_) => (Verdict::Ran, "the endpoint answered with an error"),
+            Missed::Refused(_) | Missed::Stopping => return,
+        };
+        self.log(
+            "try_failed",
+            format_args!("endpoint={} verdict={verdict} cause={cause:?}", grant.id),
+        );
+    }
+
+    pub(super) fn log_answered(&self, res: &Response) {
+        self.record("answered");
+        self.log(
+            "answered",
+            format_args!(
+                "route={} status={} ms={} tried={}",
+                self.incoming.route.name,
+                res.status().as_u16(),
+                self.incoming.began.elapsed().as_millis(),
+                self.sent.get()
+            ),
+        );
+    }
+
+    pub(super) fn log_left(&self) {
+        self.record("left");
+        self.log(
+            "caller_left",
+            format_args!(
+                "route={} ms={} tried={} verdict={}",
+                self.incoming.route.name,
+                self.incoming.began.elapsed().as_millis(),
+                self.sent.get(),
+                self.verdict.get()
+            ),
+        );
+    }
+
+    pub(super) fn log_failed(&self, failure: &Failure) {
+        self.record(failure.as_str());
+        self.log(
+            "failed",
+            format_args!(
+                "route={} outcome={} detail=\"{failure:?}\" ms={} tried={} verdict={}",
+                self.incoming.route.name,
+                failure.as_str(),
+                self.incoming.began.elapsed().as_millis(),
+                self.sent.get(),
+                self.verdict.get()
+            ),
+        );
+    }
+
+    /// Counts an outcome and its time.
+    pub(super) fn record(&self, outcome: &'static str) {
+        metrics::counter!("baobabvane_gateway_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("baobabvane_gateway_seconds", "outcome" => outcome)
+            .record(self.incoming.began.elapsed().as_secs_f64());
+    }
+
+    /// Returns when the request came in.
+    pub(super) fn began(&self) -> Instant {
+        self.incoming.began
+    }
+}
+
+impl Failure {
+    /// Returns the name that logs and metrics carry.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Refused(refused) => refused.as_str(),
+            Self::NotRun(_) => "not_run",
+            Self::MayHaveRun(_) => "may_have_run",
+            Self::TimedOut(_) => "timed_out",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    /// Returns the answer for the caller; only a request that has not run gets a
+    /// status that promises so.
+    pub(super) fn into_response(self, id: &HeaderValue, cx: &Context) -> Response {
+        let reply = match self {
+            Self::Refused(Refused::Quota { retry_after_ms }) => {
+                let after = Duration::from_secs_f64(retry_after_ms / 1_000.0).max(MIN_RETRY_AFTER);
+                Reply::new(StatusCode::TOO_MANY_REQUESTS, "over the quota").retry_after(Some(after))
+            }
+            Self::Refused(refused) => Reply::new(StatusCode::SERVICE_UNAVAILABLE, refused.as_str())
+                .retry_after(Some(refused.retry_after())),
+            Self::NotRun(cause) => Reply::new(StatusCode::SERVICE_UNAVAILABLE, cause)
+                .retry_after(Some(MIN_RETRY_AFTER)),
+            Self::MayHaveRun(cause) => Reply::new(StatusCode::BAD_GATEWAY, cause),
+            Self::TimedOut(Verdict::NotRun) => {
+                Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoint in time")
+            }
+            Self::TimedOut(_) => Reply::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            Self::Stopping => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        };
+        reply.header(&cx.names.request_id, id).build()
+    }
+}
+
+impl Refused {
+    /// Returns when another try may succeed.
+    fn retry_after(self) -> Duration {
+        let wait = match self {
+            Self::Core { refusal: Refusal::Load, why } => why.tier_wait_ms / 1_000.0,
+            _ => 0.0,
+        };
+        Duration::from_secs_f64(wait.max(0.0)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/caller/reply.rs
@@ -0,0 +1,60 @@
+//! Answers of the gateway's own.
+
+use std::time::Duration;
+
+use baobabvane_wire::{Response, WireError};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, StatusCode, header};
+
+/// Builds an answer that no endpoint gave.
+pub(super) struct Reply {
+    res: Response,
+}
+
+impl Reply {
+    pub(super) fn new(status: StatusCode, reason: &'static str) -> Self {
+        let mut res = Response::new(Bytes::from_static(reason.as_bytes()));
+        *res.status_mut() = status;
+        res.headers_mut()
+            .insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+        Self { res }
+    }
+
+    /// Tells the caller when to come back, in seconds with fractions.
+    pub(super) fn retry_after(mut self, after: Option<Duration>) -> Self {
+        let Some(after) = after else { return self };
+        let seconds = format!("{:.2}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            self.res.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+        self
+    }
+
+    pub(super) fn header(mut self, name: &HeaderName, value: &HeaderValue) -> Self {
+        self.res.headers_mut().insert(name, value.clone());
+        self
+    }
+
+    pub(super) fn build(self) -> Response {
+        self.res
+    }
+}
+
+/// Returns the answer to bytes that are no proper request; `None` when there is
+/// nobody to answer.
+pub(super) fn to_unread(error: &WireError) -> Option<Response> {
+    let (status, reason) = match error {
+        WireError::Io(_) | WireError::UnexpectedEof => return None,
+        WireError::Malformed(_) | WireError::Framing(_) => {
+            (StatusCode::BAD_REQUEST, "not a valid request")
+        }
+        WireError::HeadTooLarge { .. } => {
+            (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        }
+        WireError::BodyTooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        WireError::TimedOut { .. } => {
+            (StatusCode::REQUEST_TIMEOUT, "the request took too long to arrive")
+        }
+    };
+    Some(Reply::new(status, reason).build())
+}
--- /dev/null
+++ b/crates/gateway/src/knowledge.rs
@@ -0,0 +1,217 @@
+//! What an instance knows from the platform, and the port through which it learns it.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use baobabvane_members::SharedKey;
+use monoio::time::Instant;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    configuration::{Configuration, Sighting},
+    message::Mailbox,
+    peer::ToPeers,
+    retry::RetryBudget,
+    routing::RouteTable,
+    scheduler::ToScheduler,
+};
+
+/// How new an instance's knowledge is; larger is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// The version of the configuration.
+    pub configuration: u64,
+    /// How far the list of endpoints was read.
+    pub endpoints: u64,
+}
+
+impl Versions {
+    /// Says whether any part is newer.
+    pub(crate) fn is_ahead_of(self, other: Self) -> bool {
+        self.configuration > other.configuration || self.endpoints > other.endpoints
+    }
+}
+
+/// What all tasks of an instance read.
+pub(crate) struct Knowledge {
+    configuration: RefCell<Rc<Configuration>>,
+    table: RefCell<Rc<RouteTable>>,
+    /// When the source of the configuration last said that it is the newest.
+    confirmed_at: Cell<Option<Instant>>,
+    endpoints_version: Cell<u64>,
+    has_endpoints: Cell<bool>,
+    key: RefCell<Option<SharedKey>>,
+    scheduler: Mailbox<ToScheduler>,
+}
+
+impl Knowledge {
+    pub(crate) fn new(scheduler: Mailbox<ToScheduler>) -> Self {
+        Self {
+            configuration: RefCell::default(),
+            table: RefCell::default(),
+            confirmed_at: Cell::new(None),
+            endpoints_version: Cell::new(0),
+            has_endpoints: Cell::new(false),
+            key: RefCell::new(None),
+            scheduler,
+        }
+    }
+
+    pub(crate) fn table(&self) -> Rc<RouteTable> {
+        Rc::clone(&self.table.borrow())
+    }
+
+    pub(crate) fn configuration(&self) -> Rc<Configuration> {
+        Rc::clone(&self.configuration.borrow())
+    }
+
+    pub(crate) fn key(&self) -> Option<SharedKey> {
+        self.key.borrow().clone()
+    }
+
+    pub(crate) fn set_key(&self, key: SharedKey) {
+        *self.key.borrow_mut() = Some(key);
+    }
+
+    pub(crate) fn versions(&self) -> Versions {
+        Versions {
+            configuration: self.table.borrow().version,
+            endpoints: self.endpoints_version.get(),
+        }
+    }
+
+    /// Says whether requests can be served: a configuration and endpoints are known.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.table.borrow().version > 0 && self.has_endpoints.get()
+    }
+
+    /// Says whether the configuration was the newest one so long ago at most.
+    pub(crate) fn is_confirmed_within(&self, age: Duration) -> bool {
+        self.confirmed_at.get().is_some_and(|at| at.elapsed() <= age)
+    }
+
+    /// Returns how long ago the configuration was known to be the newest, in milliseconds.
+    pub(crate) fn confirmed_age_ms(&self) -> Option<u64> {
+        self.confirmed_at.get().map(|at| at.elapsed().as_millis() as u64)
+    }
+
+    /// Takes over a configuration unless it is older than the one in force.
+    fn configure(&self, configuration: Configuration, source: &str) {
+        let current = self.table.borrow().version;
+        if configuration.version <= current {
+            if configuration.version < current {
+                log::info!(
+                    "event=configuration_ignored version={} in_force={current} source={source}",
+                    configuration.version
+                );
+            }
+            return;
+        }
+        log::info!(
+            "event=configured version={} before={current} source={source} routes={} organisations={}",
+            configuration.version,
+            configuration.routes.len(),
+            configuration.organisations.len()
+        );
+        *self.table.borrow_mut() = Rc::new(RouteTable::new(&configuration));
+        let configuration = Rc::new(configuration);
+        *self.configuration.borrow_mut() = Rc::clone(&configuration);
+        self.scheduler.send(ToScheduler::Configure(configuration));
+    }
+
+    fn list(&self, endpoints: Vec<Sighting>, version: u64) {
+        self.has_endpoints.set(true);
+        self.endpoints_version.set(self.endpoints_version.get().max(version));
+        self.scheduler.send(ToScheduler::Listed(endpoints));
+    }
+
+    /// Takes over what a peer knows where it is newer.
+    pub(crate) fn take_from_peer(
+        &self,
+        versions: Versions,
+        configuration: Configuration,
+        endpoints: Vec<Sighting>,
+    ) {
+        self.configure(configuration, "peer");
+        if versions.endpoints > self.endpoints_version.get() {
+            self.list(endpoints, versions.endpoints);
+        }
+    }
+}
+
+/// The port through which an adapter tells an instance what the platform says.
+///
+/// Nothing here waits; what is told is in force for the next request.
+#[derive(Clone)]
+pub struct Feed {
+    pub(crate) knowledge: Rc<Knowledge>,
+    pub(crate) scheduler: Mailbox<ToScheduler>,
+    pub(crate) peers: Mailbox<ToPeers>,
+}
+
+impl Feed {
+    /// The operators put a configuration in force.
+    pub fn configured(&self, configuration: Configuration) {
+        self.knowledge.configure(configuration, "store");
+    }
+
+    /// The source of the configuration has nothing newer than what it said before.
+    pub fn configuration_confirmed(&self) {
+        self.knowledge.confirmed_at.set(Some(Instant::now()));
+    }
+
+    /// Discovery lists an endpoint, or its entry changed.
+    pub fn endpoint_seen(&self, sighting: Sighting) {
+        self.scheduler.send(ToScheduler::Seen(sighting));
+    }
+
+    /// Discovery does not list an endpoint any more.
+    pub fn endpoint_gone(&self, id: &str) {
+        self.scheduler.send(ToScheduler::Gone(id.to_owned()));
+    }
+
+    /// Discovery lists these endpoints and no others; `version` is how far it was read.
+    pub fn endpoints_listed(&self, endpoints: Vec<Sighting>, version: u64) {
+        self.knowledge.list(endpoints, version);
+    }
+
+    /// Discovery was read so far.
+    pub fn endpoints_read(&self, version: u64) {
+        let newest = self.knowledge.endpoints_version.get().max(version);
+        self.knowledge.endpoints_version.set(newest);
+    }
+
+    /// How far discovery was read, by this instance or by the peer that it learned from.
+    pub fn endpoints_version(&self) -> u64 {
+        self.knowledge.endpoints_version.get()
+    }
+
+    /// Discovery cannot be asked; what is known stays in force.
+    pub fn discovery_lost(&self) {
+        self.scheduler.send(ToScheduler::SourceLost);
+    }
+
+    /// Discovery answered.
+    pub fn discovery_answers(&self) {
+        self.scheduler.send(ToScheduler::SourceAnswers);
+    }
+
+    /// Other instances may be at these addresses.
+    pub fn peers_known(&self, peers: Vec<SocketAddr>) {
+        self.peers.send(ToPeers::Known(peers));
+    }
+
+    /// The secret that all instances of the fleet share.
+    pub fn fleet_secret(&self, secret: &str) {
+        self.peers.send(ToPeers::Key(SharedKey::new(secret)));
+    }
+
+    /// The fleet's budget of repeats for each pool.
+    pub fn retry_budget(&self, budget: RetryBudget) {
+        self.scheduler.send(ToScheduler::Budget(budget));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,43 @@
+//! The gateway: takes callers' requests by route to endpoints that discovery lists.
+//!
+//! A request travels through these modules:
+//! - `caller` reads it, checks it against the configuration (`routing`), asks the
+//!   scheduler for an endpoint, sends it there and passes the answer on;
+//! - `scheduler` owns a decision core for each pool, the endpoints (`directory`),
+//!   the organisations' quotas (`quota`) and the retry budgets (`retry`);
+//! - `links` keeps connections to endpoints, `events` cuts streams into events.
+//!
+//! What the instance knows comes in through [`Feed`], which an adapter of the
+//! platform holds, and from other instances (`peer`). [`Gateway`] joins all of it.
+//! See [running on the platform](../../../docs/platform.md).
+
+mod caller;
+mod configuration;
+mod context;
+mod daemon;
+mod directory;
+mod events;
+mod headers;
+mod knowledge;
+mod links;
+mod message;
+mod peer;
+mod prompt;
+mod quota;
+mod ready;
+mod retry;
+mod routing;
+mod scheduler;
+#[cfg(test)]
+mod testing;
+
+pub use configuration::{
+    CallerLimits, Configuration, Engine, Organisation, Pool, Quota, QuotaUnit, Route, Semantics,
+    Sighting, Target,
+};
+pub use daemon::{Gateway, GatewaySettings, Serving, Starting, StopHandle};
+pub use headers::HeaderNames;
+pub use knowledge::{Feed, Versions};
+pub use message::Mailbox;
+pub use ready::RenderMetrics;
+pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/gateway/src/peer/sync.rs
@@ -0,0 +1,137 @@
+//! Hands the configuration and the list of endpoints from instance to instance.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use baobabvane_members::SharedKey;
+use monoio::{
+    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::beat::{MessageError, open, seal};
+use crate::{
+    configuration::{Configuration, Sighting},
+    knowledge::{Knowledge, Versions},
+    message::Mailbox,
+    scheduler::ToScheduler,
+};
+
+/// A fetch that takes longer is given up; another peer may be asked then.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The largest message, in bytes; some thousand routes fit.
+const MAX_MESSAGE_BYTES: u32 = 8 * 1024 * 1024;
+
+/// Asks for all that the receiver knows.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Request {
+    /// What the sender has.
+    versions: Versions,
+}
+
+/// All that an instance knows from the platform.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Snapshot {
+    versions: Versions,
+    configuration: Configuration,
+    endpoints: Vec<Sighting>,
+}
+
+#[derive(Debug, Error)]
+enum SyncError {
+    #[error("connection failed: {0}")]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Message(#[from] MessageError),
+    #[error("message of {0} bytes is over the limit")]
+    TooLarge(u32),
+    #[error("the fleet's key is not known yet")]
+    NoKey,
+    #[error("timed out")]
+    TimedOut,
+}
+
+/// Answers other instances.
+pub(super) async fn serve(
+    listener: TcpListener,
+    knowledge: Rc<Knowledge>,
+    scheduler: Mailbox<ToScheduler>,
+) {
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else { continue };
+        let (knowledge, scheduler) = (Rc::clone(&knowledge), scheduler.clone());
+        monoio::spawn(async move {
+            let answer = answer(stream, &knowledge, &scheduler);
+            let result = timeout(FETCH_TIMEOUT, answer).await.unwrap_or(Err(SyncError::TimedOut));
+            if let Err(e) = result {
+                log::warn!("event=peer_answer_failed peer={peer} error={:?}", e.to_string());
+            }
+        });
+    }
+}
+
+async fn answer(
+    mut stream: TcpStream,
+    knowledge: &Knowledge,
+    scheduler: &Mailbox<ToScheduler>,
+) -> Result<(), SyncError> {
+    let key = knowledge.key().ok_or(SyncError::NoKey)?;
+    let bytes = read_message(&mut stream).await?;
+    let _: Request = open(&bytes, &key)?;
+    let endpoints = scheduler.ask(ToScheduler::Endpoints).await.unwrap_or_default();
+    let snapshot = Snapshot {
+        versions: knowledge.versions(),
+        configuration: (*knowledge.configuration()).clone(),
+        endpoints,
+    };
+    write_message(&mut stream, &snapshot, &key).await
+}
+
+/// Fetches what a peer knows and takes over what is newer.
+pub(super) async fn fetch(peer: SocketAddr, knowledge: Rc<Knowledge>) {
+    let fetched = timeout(FETCH_TIMEOUT, ask(peer, &knowledge)).await;
+    match fetched.unwrap_or(Err(SyncError::TimedOut)) {
+        Ok(snapshot) => {
+            log::info!(
+                "event=fetched_from_peer peer={peer} version={} endpoints={}",
+                snapshot.versions.configuration,
+                snapshot.endpoints.len()
+            );
+            let Snapshot { versions, configuration, endpoints } = snapshot;
+            knowledge.take_from_peer(versions, configuration, endpoints);
+        }
+        Err(e) => log::warn!("event=fetch_failed peer={peer} error={:?}", e.to_string()),
+    }
+}
+
+async fn ask(peer: SocketAddr, knowledge: &Knowledge) -> Result<Snapshot, SyncError> {
+    let key = knowledge.key().ok_or(SyncError::NoKey)?;
+    let mut stream = TcpStream::connect_addr(peer).await?;
+    write_message(&mut stream, &Request { versions: knowledge.versions() }, &key).await?;
+    let bytes = read_message(&mut stream).await?;
+    Ok(open(&bytes, &key)?)
+}
+
+async fn read_message(stream: &mut TcpStream) -> Result<Vec<u8>, SyncError> {
+    let len = stream.read_u32().await?;
+    if len > MAX_MESSAGE_BYTES {
+        return Err(SyncError::TooLarge(len));
+    }
+    let (result, bytes) = stream.read_exact(vec![0; len as usize]).await;
+    result?;
+    Ok(bytes)
+}
+
+async fn write_message(
+    stream: &mut TcpStream,
+    message: &impl Serialize,
+    key: &SharedKey,
+) -> Result<(), SyncError> {
+    let message = seal(message, key);
+    let mut bytes = (message.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&message);
+    stream.write_all(bytes).await.0?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/prompt.rs
@@ -0,0 +1,90 @@
+//! What a request's headers say of its size and of the parts that it shares.
+
+use std::hash::{Hash, Hasher};
+
+use baobabvane_decide::PrefixBlocks;
+use http::HeaderMap;
+use rustc_hash::FxHasher;
+
+use crate::{
+    headers::{self, HeaderNames},
+    scheduler::BLOCK_TOKENS,
+};
+
+/// Size and parts of a prompt; a request to a plain service has none.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Prompt {
+    /// Tokens of the prompt.
+    pub(crate) tokens: u32,
+    /// The most tokens that the answer may have.
+    pub(crate) max_answer_tokens: u32,
+    /// The expected tokens of the answer.
+    pub(crate) answer_tokens: u32,
+    /// Hashes of the prompt's blocks, each over all before it.
+    pub(crate) blocks: PrefixBlocks,
+}
+
+impl Prompt {
+    pub(crate) fn read(headers: &HeaderMap, names: &HeaderNames) -> Self {
+        let Some((tokens, max_answer_tokens)) = usage(headers, names) else {
+            return Self::default();
+        };
+        let hint = headers::number(headers, &names.length_hint).map(|h| h as u32);
+        let answer_tokens = hint.unwrap_or(max_answer_tokens).min(max_answer_tokens).max(1);
+        let parts = headers::text(headers, &names.prompt_parts).unwrap_or("");
+        Self { tokens, max_answer_tokens, answer_tokens, blocks: blocks(parts) }
+    }
+
+    /// Returns what the request counts in tokens, if it says so.
+    pub(crate) fn counted_tokens(&self) -> Option<f64> {
+        let total = u64::from(self.tokens) + u64::from(self.max_answer_tokens);
+        (total > 0).then_some(total as f64)
+    }
+}
+
+fn usage(headers: &HeaderMap, names: &HeaderNames) -> Option<(u32, u32)> {
+    let (tokens, most) = headers::text(headers, &names.token_usage)?.split_once(',')?;
+    Some((tokens.trim().parse().ok()?, most.trim().parse().ok()?))
+}
+
+/// Cuts parts of a prompt, written as ID:TOKENS, into blocks of equal size.
+///
+/// A part that is smaller than a block is joined to the next one.
+fn blocks(parts: &str) -> PrefixBlocks {
+    let mut blocks = PrefixBlocks::new();
+    let mut hasher = FxHasher::default();
+    let mut tokens = 0;
+    for part in parts.split(',') {
+        let Some((id, len)) = part.trim().split_once(':') else { continue };
+        let Ok(len) = len.trim().parse::<u32>() else { continue };
+        id.hash(&mut hasher);
+        tokens += len;
+        let whole = (tokens / BLOCK_TOKENS) as usize;
+        while blocks.len() < whole {
+            blocks.len().hash(&mut hasher);
+            blocks.push(hasher.finish());
+        }
+    }
+    blocks
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn prompts_share_blocks_as_far_as_their_parts_agree() {
+        let a = blocks("5c1e:1024,91bd:512");
+        let b = blocks("5c1e:1024,77aa:512");
+        assert_eq!((a.len(), b.len()), (6, 6));
+        assert_eq!(a[..4], b[..4]);
+        assert_ne!(a[4], b[4]);
+        assert_ne!(a[5], b[5]);
+    }
+
+    #[test]
+    fn parts_that_cannot_be_read_are_left_out() {
+        assert_eq!(blocks("").len(), 0);
+        assert_eq!(blocks("5c1e,:,x:y,aa:256").len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ready.rs
@@ -0,0 +1,63 @@
+//! Tells the balancer whether this instance takes callers, and serves metrics.
+
+use std::{rc::Rc, time::Duration};
+
+use baobabvane_wire::{Limits, Response, ServerConn};
+use bytes::Bytes;
+use http::StatusCode;
+use monoio::net::{TcpListener, TcpStream};
+
+use crate::context::Context;
+
+/// Renders all metrics as text.
+pub type RenderMetrics = Rc<dyn Fn() -> String>;
+
+/// Connections for these short requests are not kept longer.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Answers readiness probes.
+pub(crate) async fn serve_ready(listener: TcpListener, cx: Rc<Context>) {
+    let answer = Rc::new(move |_path: &str| {
+        let (status, text) = match cx.is_ready() {
+            true => (StatusCode::OK, "ready"),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        };
+        respond(status, Bytes::from_static(text.as_bytes()))
+    });
+    serve(listener, answer).await;
+}
+
+/// Serves the metrics.
+pub(crate) async fn serve_metrics(listener: TcpListener, render: RenderMetrics) {
+    let answer = Rc::new(move |path: &str| match path {
+        "/metrics" => respond(StatusCode::OK, render().into()),
+        _ => respond(StatusCode::NOT_FOUND, Bytes::from_static(b"not found")),
+    });
+    serve(listener, answer).await;
+}
+
+fn respond(status: StatusCode, body: Bytes) -> Response {
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    res
+}
+
+async fn serve(listener: TcpListener, answer: Rc<impl Fn(&str) -> Response + 'static>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            monoio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        monoio::spawn(connection(stream, Rc::clone(&answer)));
+    }
+}
+
+async fn connection(stream: TcpStream, answer: Rc<impl Fn(&str) -> Response>) {
+    let mut conn = ServerConn::new(stream, Limits { idle: IDLE, ..Limits::default() });
+    while let Ok(Some(req)) = conn.read_request().await {
+        let res = answer(req.uri().path());
+        if conn.write_response(res).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/routing.rs
@@ -0,0 +1,137 @@
+//! Finds the route of a request and the organisation of its key.
+
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+
+use crate::configuration::{CallerLimits, Configuration, Organisation, Route, Target};
+
+/// A configuration with the indexes that each request needs.
+#[derive(Debug, Default)]
+pub(crate) struct RouteTable {
+    pub(crate) version: u64,
+    pub(crate) limits: CallerLimits,
+    /// Longest prefix first.
+    by_host: FxHashMap<String, Vec<Rc<Route>>>,
+    by_key: FxHashMap<String, Rc<Organisation>>,
+    asks_for_key: bool,
+}
+
+/// Whose request it is.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Identity {
+    /// No key is asked for.
+    Anyone,
+    /// The key is the organisation's.
+    Organisation(Rc<Organisation>),
+    /// The key is missing or unknown.
+    Unknown,
+}
+
+impl RouteTable {
+    pub(crate) fn new(configuration: &Configuration) -> Self {
+        let mut by_host: FxHashMap<String, Vec<Rc<Route>>> = FxHashMap::default();
+        for route in &configuration.routes {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(Rc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
+        }
+        let mut by_key = FxHashMap::default();
+        for org in &configuration.organisations {
+            let shared = Rc::new(org.clone());
+            by_key.extend(org.api_keys.iter().map(|key| (key.clone(), Rc::clone(&shared))));
+        }
+        Self {
+            version: configuration.version,
+            limits: configuration.limits,
+            by_host,
+            by_key,
+            asks_for_key: !configuration.organisations.is_empty(),
+        }
+    }
+
+    /// Returns the route with the longest prefix of the path among those of the host.
+    pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let lower = host.to_ascii_lowercase();
+        let routes = self.by_host.get(&lower).or_else(|| {
+            let (name, _port) = lower.rsplit_once(':')?;
+            self.by_host.get(name)
+        })?;
+        routes.iter().find(|r| path.starts_with(&r.path_prefix))
+    }
+
+    /// Returns whose request it is, by the route and the key that came with it.
+    pub(crate) fn identify(&self, route: &Route, key: Option<&str>) -> Identity {
+        if !self.asks_for_key {
+            return Identity::Anyone;
+        }
+        match key.and_then(|k| self.by_key.get(k)) {
+            Some(org) => Identity::Organisation(Rc::clone(org)),
+            None if route.is_public => Identity::Anyone,
+            None => Identity::Unknown,
+        }
+    }
+}
+
+/// Picks a target by weight; `draw` is evenly spread over 0 to 1.
+pub(crate) fn pick_target(targets: &[Target], draw: f64) -> Option<&Target> {
+    let total: f64 = targets.iter().map(|t| f64::from(t.weight)).sum();
+    let mut left = draw * total;
+    let mut weighted = targets.iter().filter(|t| t.weight > 0);
+    for target in weighted.clone() {
+        left -= f64::from(target.weight);
+        if left < 0.0 {
+            return Some(target);
+        }
+    }
+    weighted.next_back()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::{configuration, organisation, route};
+
+    #[test]
+    fn the_longest_prefix_of_the_host_wins() {
+        let table = RouteTable::new(&configuration(vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/y/z/"),
+        ]));
+        let name = |host, path| table.route(host, path).map(|r| r.name.clone());
+        assert_eq!(name("a.example", "/x/y/z/1").as_deref(), Some("long"));
+        assert_eq!(name("A.example:8080", "/x/q").as_deref(), Some("short"));
+        assert_eq!(name("a.example", "/x"), None);
+        assert_eq!(name("c.example", "/x/y/"), None);
+    }
+
+    #[test]
+    fn a_key_names_its_organisation_and_public_routes_need_none() {
+        let mut open = route("open", "a.example", "/open/");
+        open.is_public = true;
+        let closed = route("closed", "a.example", "/closed/");
+        let mut config = configuration(vec![open.clone(), closed.clone()]);
+        config.organisations = vec![organisation("growers", "k1")];
+        let table = RouteTable::new(&config);
+        let growers = Identity::Organisation(Rc::new(config.organisations[0].clone()));
+        assert_eq!(table.identify(&closed, Some("k1")), growers);
+        assert_eq!(table.identify(&closed, Some("k2")), Identity::Unknown);
+        assert_eq!(table.identify(&closed, None), Identity::Unknown);
+        assert_eq!(table.identify(&open, None), Identity::Anyone);
+    }
+
+    #[test]
+    fn targets_are_picked_by_weight() {
+        let target = |pool: &str, weight| Target { pool: pool.to_owned(), weight };
+        let targets = [target("a", 90), target("b", 0), target("c", 10)];
+        let pool = |draw| pick_target(&targets, draw).map(|t| t.pool.clone());
+        assert_eq!(pool(0.0).as_deref(), Some("a"));
+        assert_eq!(pool(0.899).as_deref(), Some("a"));
+        assert_eq!(pool(0.9).as_deref(), Some("c"));
+        assert_eq!(pool(1.0).as_deref(), Some("c"));
+        assert_eq!(pick_target(&[], 0.5), None);
+    }
+}
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -8,7 +8,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use baobabvane_platform::{Appended, Batch, LogRecord};
+use baobabvane_log::{Appended, Batch, LogRecord};
 use baobabvane_wire::{Request, ServerConn};
 use http::Method;
 use local_sync::oneshot;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     WireError,
-    decode::{BoundedChunks, Framing, Take},
+    decode::{BoundedChunks, Framing, Rest, Take},
 };
 
 /// What is left of a body.
@@ -17,8 +17,10 @@
     Length(Take),
     /// More chunks follow.
     Chunked(BoundedChunks),
-    /// Only the end of the connection ends the body.
+    /// Only the end of the connection ends the body, and the reader does not accept that.
     Unstated,
+    /// The orderly end of the connection ends the body.
+    UntilClose,
 }
 
 impl Body {
@@ -43,6 +45,13 @@
         match self {
             Self::Done => Ok(None),
             Self::Unstated => Err(WireError::Framing("the answer states no length")),
+            Self::UntilClose => match framed.next_with(&mut Rest).await {
+                Some(piece) => Ok(Some(piece?)),
+                None => {
+                    *self = Self::Done;
+                    Ok(None)
+                }
+            },
             Self::Length(take) => {
                 let piece = framed.next_with(take).await.ok_or(WireError::UnexpectedEof)??;
                 if take.remaining == 0 {
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -69,6 +69,7 @@
     host: HeaderValue,
     body: Body,
     reusable: bool,
+    until_close: bool,
 }
 
 impl ClientConn {
@@ -83,9 +84,17 @@
             host,
             body: Body::Done,
             reusable: true,
+            until_close: false,
         }
     }
 
+    /// Accepts answers without a stated length, which end with the connection.
+    ///
+    /// A connection that is reset does not end such an answer properly.
+    pub fn accept_until_close(&mut self) {
+        self.until_close = true;
+    }
+
     /// Sends a request; afterwards it may have run, even when this fails.
     pub async fn send(
         &mut self,
@@ -96,9 +105,15 @@
     ) -> Result<(), WireError> {
         self.reusable = false;
         let mut headers = headers.clone();
-        headers.insert(header::HOST, self.host.clone());
+        if !headers.contains_key(header::HOST) {
+            headers.insert(header::HOST, self.host.clone());
+        }
+        let length = match body.is_empty() && is_sent_without_body(method) {
+            true => Length::None,
+            false => Length::Known(body.len()),
+        };
         let mut buf = Vec::with_capacity(512);
-        encode::request_head(&mut buf, method, uri, &headers, Length::Known(body.len()));
+        encode::request_head(&mut buf, method, uri, &headers, length);
         if body.len() <= JOINED_BODY_BYTES {
             buf.extend_from_slice(&body);
             self.framed.get_mut().write_all(buf).await.0?;
@@ -120,7 +135,10 @@
                 true => Framing::Empty,
                 false => framing(head.version, &head.headers)?,
             };
-            self.body = Body::new(framing, MAX_CHUNK_BYTES);
+            self.body = match framing {
+                Framing::Unstated if self.until_close => Body::UntilClose,
+                framing => Body::new(framing, MAX_CHUNK_BYTES),
+            };
             self.reusable = may_reuse(head.version, &head.headers) && framing != Framing::Unstated;
             return Ok(Response::from_parts(head, ()));
         }
@@ -171,6 +189,11 @@
     let _ = socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED));
 }
 
+/// Says whether a request of the method states no length when it has no body.
+fn is_sent_without_body(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS)
+}
+
 fn may_reuse(version: Version, headers: &HeaderMap) -> bool {
     let closes = headers
         .get(header::CONNECTION)
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -137,6 +137,21 @@
     }
 }
 
+/// Takes whatever has arrived, up to the end of the connection.
+pub(crate) struct Rest;
+
+impl Decoder for Rest {
+    type Item = Bytes;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Bytes>, WireError> {
+        match src.is_empty() {
+            true => Ok(Decoded::Insufficient),
+            false => Ok(Decoded::Some(src.split().freeze())),
+        }
+    }
+}
+
 /// Decodes chunks of bounded size.
 pub(crate) struct BoundedChunks {
     inner: ChunkedBodyDecoder,
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -7,7 +7,7 @@
 use monoio::{
     io::{AsyncWriteRent, AsyncWriteRentExt, stream::Stream},
     net::TcpStream,
-    time::timeout,
+    time::{Instant, timeout},
 };
 use monoio_codec::FramedRead;
 use monoio_http::h1::codec::decoder::RequestHeadDecoder;
@@ -54,6 +54,7 @@
     framed: FramedRead<TcpStream, StrictHead<RequestHeadDecoder>>,
     limits: Limits,
     keep_alive: bool,
+    began: Instant,
     buf: Vec<u8>,
 }
 
@@ -65,7 +66,7 @@
         let decoder = StrictHead::new(limits.head_bytes);
         // No buffer until the first byte: an idle connection costs little memory.
         let framed = FramedRead::with_capacity(stream, decoder, 0);
-        Self { framed, limits, keep_alive: true, buf: Vec::new() }
+        Self { framed, limits, keep_alive: true, began: Instant::now(), buf: Vec::new() }
     }
 
     /// Reads a request with its whole body.
@@ -81,6 +82,7 @@
                 Err(_) => return Ok(None),
             }
         }
+        self.began = Instant::now();
         let head = match timeout(self.limits.head, self.framed.next()).await {
             Ok(None) => return self.closed_between_requests(),
             Ok(Some(head)) => head?,
@@ -146,6 +148,11 @@
         self.keep_alive = false;
     }
 
+    /// Returns when the first byte of the last request was there.
+    pub fn request_began(&self) -> Instant {
+        self.began
+    }
+
     /// Says whether another request may follow.
     pub fn is_keep_alive(&self) -> bool {
         self.keep_alive
