gateway: a stopping instance lets go of idle connections and sends late requests elsewhere

Ruled out: a grace period that is too short; the requests cut were all taken over 3 s after SIGTERM. Change: at the request to stop connections without a request are closed; after 2.5 s new requests are told to come back, which the next instance serves.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -59,6 +59,9 @@
     let _counted = Counted::new(&cx.connections);
     let mut conn = ServerConn::new(stream, limits(&cx));
     loop {
+        if !wait_request(&cx, &mut conn).await {
+            return;
+        }
         match conn.read_request().await {
             Ok(Some(req)) => {
                 if answer(&cx, &mut conn, req).await == Flow::Close {
@@ -78,6 +81,20 @@
     }
 }
 
+/// Waits for a request; false when the connection is not needed any more.
+///
+/// Once a stop is asked for, connections without a request are closed: a caller that
+/// finds its connection closed before its request was read sends it elsewhere.
+async fn wait_request(cx: &Context, conn: &mut ServerConn) -> bool {
+    if cx.drain.has_begun() {
+        return matches!(conn.wait_request().await, Ok(true));
+    }
+    monoio::select! {
+        arrived = conn.wait_request() => matches!(arrived, Ok(true)),
+        () = cx.drain.begun() => false,
+    }
+}
+
 /// Answers a request that could not be read, where an answer can still be read.
 async fn refuse_unread(mut conn: ServerConn, error: &WireError) {
     log::info!("event=unread_request error={:?}", error.to_string());
@@ -90,7 +107,7 @@
 
 async fn answer(cx: &Context, conn: &mut ServerConn, req: Request) -> Flow {
     let _counted = Counted::new(&cx.active);
-    if cx.is_draining.get() {
+    if cx.drain.has_begun() {
         conn.close_after_response();
     }
     let incoming = match admission::admit(cx, req, conn.request_began()) {
@@ -107,7 +124,7 @@
             () = conn.closed() => None,
         }
     };
-    if cx.is_draining.get() {
+    if cx.drain.has_begun() {
         conn.close_after_response();
     }
     match first {
--- a/crates/gateway/src/caller/admission.rs
+++ b/crates/gateway/src/caller/admission.rs
@@ -19,6 +19,9 @@
 /// A caller that finds an instance without configuration comes back after this time.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
 
+/// A caller that finds a stopping instance finds another one at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// A request that the configuration allows.
 pub(super) struct Incoming {
     pub(super) id: HeaderValue,
@@ -88,6 +91,12 @@
                 ..refusal(StatusCode::SERVICE_UNAVAILABLE, "the configuration may be out of date")
             },
         };
+    if cx.drain.refuses_new() {
+        return Err(Refusal {
+            retry_after: Some(STOPPING_RETRY),
+            ..refusal(StatusCode::SERVICE_UNAVAILABLE, "stopping")
+        });
+    }
     if !cx.knowledge.is_complete() {
         return Err(Refusal {
             retry_after: Some(UNCONFIGURED_RETRY),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,6 +7,8 @@
 };
 
 use baobabvane_decide::Ticket;
+use futures::{FutureExt, channel::oneshot, future::Shared};
+use monoio::time::Instant;
 
 use crate::{
     headers::HeaderNames, knowledge::Knowledge, links::Links, message::Mailbox,
@@ -21,8 +23,8 @@
     pub(crate) links: Links,
     /// How old the word on the configuration may be for a refusal that rests on it.
     pub(crate) max_configuration_age: Cell<Duration>,
-    /// Whether a stop was asked for.
-    pub(crate) is_draining: Cell<bool>,
+    /// The request to stop, once it was made.
+    pub(crate) drain: Drain,
     /// Requests that are being answered.
     pub(crate) active: Cell<usize>,
     /// Callers' connections.
@@ -44,7 +46,7 @@
             scheduler,
             links: Links::default(),
             max_configuration_age: Cell::new(max_configuration_age),
-            is_draining: Cell::new(false),
+            drain: Drain::default(),
             active: Cell::new(0),
             connections: Cell::new(0),
             tickets: Cell::new(0),
@@ -65,7 +67,57 @@
     }
 
     pub(crate) fn is_ready(&self) -> bool {
-        self.knowledge.is_complete() && !self.is_draining.get()
+        self.knowledge.is_complete() && !self.drain.has_begun()
+    }
+}
+
+/// The way of an instance from the request to stop to its end.
+///
+/// New requests are served for a while, since the balancer needs some probes to see
+/// that the instance is leaving, and then told to come back elsewhere, so that
+/// whatever was taken can be finished.
+pub(crate) struct Drain {
+    since: Cell<Option<Instant>>,
+    begin: RefCell<Option<oneshot::Sender<()>>>,
+    begun: Shared<oneshot::Receiver<()>>,
+}
+
+/// How long new requests are still served after the request to stop; two probes of
+/// the balancer, one a second, fit.
+const SERVE_NEW: Duration = Duration::from_millis(2_500);
+
+impl Default for Drain {
+    fn default() -> Self {
+        let (tx, rx) = oneshot::channel();
+        Self {
+            since: Cell::new(None),
+            begin: RefCell::new(Some(tx)),
+            begun: rx.shared(),
+        }
+    }
+}
+
+impl Drain {
+    pub(crate) fn begin(&self) {
+        self.since.set(Some(Instant::now()));
+        if let Some(tx) = self.begin.borrow_mut().take() {
+            // Nobody may be waiting.
+            let _ = tx.send(());
+        }
+    }
+
+    pub(crate) fn has_begun(&self) -> bool {
+        self.since.get().is_some()
+    }
+
+    /// Says whether requests that come now are told to come back elsewhere.
+    pub(crate) fn refuses_new(&self) -> bool {
+        self.since.get().is_some_and(|since| since.elapsed() > SERVE_NEW)
+    }
+
+    /// Resolves when the stop is asked for.
+    pub(crate) async fn begun(&self) {
+        let _ = self.begun.clone().await;
     }
 }
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -197,7 +197,7 @@
         while !stop.is_set() {
             sleep(POLL).await;
         }
-        cx.is_draining.set(true);
+        cx.drain.begin();
         feed.peers.send(ToPeers::Leave);
         let began = Instant::now();
         log::info!(
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -69,6 +69,19 @@
         Self { framed, limits, keep_alive: true, began: Instant::now(), buf: Vec::new() }
     }
 
+    /// Waits for the first byte of a request; false when the peer stays silent too long.
+    ///
+    /// Dropping the wait loses nothing.
+    pub async fn wait_request(&mut self) -> Result<bool, WireError> {
+        if !self.framed.read_buffer().is_empty() {
+            return Ok(true);
+        }
+        match timeout(self.limits.idle, self.framed.get_ref().readable(false)).await {
+            Ok(ready) => Ok(ready.map(|()| true)?),
+            Err(_) => Ok(false),
+        }
+    }
+
     /// Reads a request with its whole body.
     ///
     /// Returns `None` when the peer closed or stayed silent between requests.
@@ -76,11 +89,8 @@
         if !self.keep_alive {
             return Ok(None);
         }
-        if self.framed.read_buffer().is_empty() {
-            match timeout(self.limits.idle, self.framed.get_ref().readable(false)).await {
-                Ok(ready) => ready?,
-                Err(_) => return Ok(None),
-            }
+        if !self.wait_request().await? {
+            return Ok(None);
         }
         self.began = Instant::now();
         let head = match timeout(self.limits.head, self.framed.next()).await {
