--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -89,11 +89,7 @@
 impl Default for Drain {
     fn default() -> Self {
         let (tx, rx) = oneshot::channel();
-        Self {
-            since: Cell::new(None),
-            begin: RefCell::new(Some(tx)),
-            begun: rx.shared(),
-        }
+        Self { since: Cell::new(None), begin: RefCell::new(Some(tx)), begun: rx.shared() }
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -0,0 +1,252 @@
+//! An endpoint that answers by script, byte for byte.
+
+use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+
+use baobabvane_gateway::Sighting;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// What an endpoint does with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Script {
+    /// Runs it and answers with a status and a body.
+    Answer(u16, &'static str),
+    /// Answers after a while.
+    Late(Duration, &'static str),
+    /// Says that it did not run it.
+    NotExecuted,
+    /// Says that another endpoint has the address.
+    Misdirected,
+    /// Runs it and closes the connection.
+    Lose,
+    /// Runs it and never answers.
+    Hang,
+    /// Sends events up to a number and ends the stream properly.
+    Events(u64),
+    /// Sends events up to a number and a part of the next one, and closes.
+    BrokenEvents(u64),
+    /// Sends events up to a number, and then nothing more.
+    StalledEvents(u64),
+    /// Answers another request first, on the same connection.
+    ExtraFirst(&'static str),
+    /// Answers and sends a second answer right behind.
+    ExtraBehind(&'static str),
+    /// States no length and ends with the connection.
+    UntilClose(&'static str),
+    /// Sends a success without the signature.
+    Unsigned,
+    /// Sends bytes that are no answer.
+    Garbage,
+}
+
+/// A request as the endpoint read it; header names are in lower case.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) line: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Seen {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+/// A running endpoint.
+#[derive(Clone)]
+pub(crate) struct Endpoint {
+    pub(crate) sighting: Sighting,
+    scripts: Rc<RefCell<VecDeque<Script>>>,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    cancelled: Rc<RefCell<u32>>,
+}
+
+impl Endpoint {
+    /// Starts an endpoint; the last script is repeated.
+    pub(crate) fn spawn(id: &str, pool: &str, scripts: &[Script]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("port 0 is free");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let endpoint = Self {
+            sighting: sighting(id, pool, address),
+            scripts: Rc::new(RefCell::new(scripts.iter().cloned().collect())),
+            seen: Rc::default(),
+            cancelled: Rc::default(),
+        };
+        monoio::spawn(endpoint.clone().accept(listener));
+        endpoint
+    }
+
+    /// Returns the requests that were read.
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.seen.borrow().clone()
+    }
+
+    /// Returns how many requests were given up while the endpoint worked on them.
+    pub(crate) fn cancelled(&self) -> u32 {
+        *self.cancelled.borrow()
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            monoio::spawn(self.clone().serve(stream));
+        }
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        while let Some(seen) = read_request(&mut stream).await {
+            self.seen.borrow_mut().push(seen.clone());
+            let script = {
+                let mut scripts = self.scripts.borrow_mut();
+                match scripts.len() {
+                    1 => scripts[0].clone(),
+                    _ => scripts.pop_front().expect("an endpoint has a script"),
+                }
+            };
+            if !self.play(&mut stream, &seen, script).await {
+                return;
+            }
+        }
+    }
+
+    async fn play(&self, stream: &mut TcpStream, seen: &Seen, script: Script) -> bool {
+        let id = seen.header("baobabvane-request-id").unwrap_or("-").to_owned();
+        match script {
+            Script::Answer(status, body) => write(stream, whole(status, &id, body)).await,
+            Script::Late(after, body) => {
+                sleep(after).await;
+                write(stream, whole(200, &id, body)).await
+            }
+            Script::NotExecuted => {
+                let head =
+                    "HTTP/1.1 503 x\r\nbaobabvane-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+                write(stream, head.to_owned()).await
+            }
+            Script::Misdirected => {
+                write(stream, "HTTP/1.1 421 x\r\ncontent-length: 0\r\n\r\n".to_owned()).await
+            }
+            Script::Lose => false,
+            Script::Hang => self.until_cancelled(stream).await,
+            Script::Events(last) => {
+                let events = events(&id, after(seen), last);
+                write(stream, format!("{events}0\r\n\r\n")).await
+            }
+            Script::BrokenEvents(last) => {
+                let events = events(&id, after(seen), last);
+                write(stream, format!("{events}9\r\nid: 99\nda\r\n")).await;
+                false
+            }
+            Script::StalledEvents(last) => {
+                write(stream, events(&id, after(seen), last)).await;
+                self.until_cancelled(stream).await
+            }
+            Script::ExtraFirst(body) => {
+                let other = whole(200, "another", "not yours");
+                write(stream, other + &whole(200, &id, body)).await
+            }
+            Script::ExtraBehind(body) => {
+                let other = whole(200, "another", "not yours");
+                write(stream, whole(200, &id, body) + &other).await
+            }
+            Script::UntilClose(body) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n\
+                     baobabvane-signature: s\r\nconnection: close\r\n\r\n{body}"
+                );
+                write(stream, head).await;
+                false
+            }
+            Script::Unsigned => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\ncontent-length: 2\r\n\r\nno"
+                );
+                write(stream, head).await
+            }
+            Script::Garbage => {
+                write(stream, "%%%% not an answer\r\n\r\n".to_owned()).await;
+                false
+            }
+        }
+    }
+
+    async fn until_cancelled(&self, stream: &mut TcpStream) -> bool {
+        let (result, _) = stream.read(vec![0; 1]).await;
+        if matches!(result, Ok(0) | Err(_)) {
+            *self.cancelled.borrow_mut() += 1;
+        }
+        false
+    }
+}
+
+/// Returns an endpoint's entry in the list.
+pub(crate) fn sighting(id: &str, pool: &str, address: SocketAddr) -> Sighting {
+    Sighting {
+        id: id.to_owned(),
+        pool: pool.to_owned(),
+        address,
+        zone: "tanta".to_owned(),
+        slots: 4,
+        is_draining: false,
+        started_ms: 1,
+    }
+}
+
+fn whole(status: u16, id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} x\r\nbaobabvane-request-id: {id}\r\nbaobabvane-signature: s\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Returns the event after which a stream goes on.
+fn after(seen: &Seen) -> u64 {
+    seen.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the head of a stream and its events, one a chunk.
+fn events(id: &str, after: u64, last: u64) -> String {
+    let mut text = format!(
+        "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\nbaobabvane-signature: s\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    for number in after + 1..=last {
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        text += &format!("{:x}\r\n{event}\r\n", event.len());
+    }
+    text
+}
+
+async fn write(stream: &mut TcpStream, text: String) -> bool {
+    stream.write_all(text.into_bytes()).await.0.is_ok()
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(seen) = parse(&bytes) {
+            return Some(seen);
+        }
+        let (result, buf) = stream.read(vec![0; 4096]).await;
+        let len = result.ok().filter(|len| *len > 0)?;
+        bytes.extend_from_slice(&buf[..len]);
+    }
+}
+
+fn parse(bytes: &[u8]) -> Option<Seen> {
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut lines = head.lines();
+    let line = lines.next()?.to_owned();
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|l| l.split_once(": "))
+        .map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()))
+        .collect();
+    let stated = headers.iter().find(|(n, _)| n == "content-length");
+    let len = stated.and_then(|(_, v)| v.parse().ok()).unwrap_or(0);
+    let body = bytes.get(end + 4..end + 4 + len)?.to_vec();
+    Some(Seen { line, headers, body })
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Whole sessions through one gateway: callers and endpoints on real sockets.
+
+mod endpoint;
+mod stage;
+
+mod callers;
+mod repeats;
+mod stopping;
+mod streams;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/stage.rs
@@ -0,0 +1,224 @@
+//! The fluent helper that starts a gateway with its endpoints and sends requests.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use baobabvane_gateway::{
+    Configuration, Feed, Gateway, GatewaySettings, HeaderNames, Organisation, RetryBudget, Route,
+    Semantics, Sighting, StopHandle, Target,
+};
+use baobabvane_wire::{ClientConn, Connector, WireError};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use monoio::time::sleep;
+
+use crate::endpoint::Endpoint;
+
+pub(crate) const HOST: &str = "desk.example";
+/// Something that should happen has happened after this time, even on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Runs a future on the epoll driver.
+pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime needs only a descriptor")
+        .block_on(future)
+}
+
+/// A route of the given semantics at `/NAME/`, to the pool `desk`.
+pub(crate) fn route(name: &str, semantics: Semantics) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: format!("/{name}/"),
+        semantics,
+        timeout_ms: 20_000,
+        target_ms: 300,
+        max_gap_ms: 100,
+        rank: 0,
+        max_attempts: 3,
+        is_public: false,
+        is_resumable: false,
+        targets: vec![Target { pool: "desk".to_owned(), weight: 1 }],
+    }
+}
+
+/// A gateway and what it was told.
+pub(crate) struct Stage {
+    pub(crate) feed: Feed,
+    pub(crate) stop: StopHandle,
+    pub(crate) configuration: Configuration,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+/// A caller's connection.
+pub(crate) struct Caller {
+    conn: ClientConn,
+}
+
+/// An answer with its whole body.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+}
+
+impl Stage {
+    /// Starts a gateway with three routes, of one semantics each.
+    pub(crate) async fn new(endpoints: &[&Endpoint]) -> Self {
+        let mut streams = route("answers", Semantics::Stream);
+        streams.is_resumable = true;
+        let routes = vec![
+            route("reads", Semantics::Idempotent),
+            route("postings", Semantics::NonIdempotent),
+            streams,
+            route("quotes", Semantics::Stream),
+        ];
+        let configuration = Configuration { version: 1, routes, ..Configuration::default() };
+        Self::with(endpoints, configuration).await
+    }
+
+    pub(crate) async fn with(endpoints: &[&Endpoint], configuration: Configuration) -> Self {
+        let stage = Self::unconfigured(configuration).await;
+        stage.feed.retry_budget(RetryBudget { ratio: 1.0, window_ms: 10_000.0, allowance: 100.0 });
+        stage.feed.configured(stage.configuration.clone());
+        stage.feed.configuration_confirmed();
+        stage.list(endpoints);
+        stage
+    }
+
+    /// Starts a gateway that was told nothing yet.
+    pub(crate) async fn unconfigured(configuration: Configuration) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let gateway = Gateway::bind(GatewaySettings {
+            name: "test".to_owned(),
+            listen: any,
+            ready_listen: any,
+            metrics_listen: None,
+            peer_listen: any,
+            grace_ms: 8_000,
+            confirmation_ms: 60_000,
+        })
+        .expect("port 0 is free");
+        let callers = gateway.caller_address().expect("a bound socket has an address");
+        let ready = gateway.ready_address().expect("a bound socket has an address");
+        let stop = StopHandle::default();
+        let gateway = gateway
+            .spawn(HeaderNames::default(), stop.clone(), Rc::new(String::new))
+            .expect("port 0 is free");
+        let feed = gateway.feed();
+        monoio::spawn(gateway.until_stopped());
+        Self { feed, stop, configuration, callers, ready }
+    }
+
+    pub(crate) fn list(&self, endpoints: &[&Endpoint]) {
+        let list: Vec<Sighting> = endpoints.iter().map(|e| e.sighting.clone()).collect();
+        self.feed.endpoints_listed(list, 1);
+    }
+
+    pub(crate) async fn caller(&self) -> Caller {
+        Caller { conn: connect(self.callers).await.expect("the gateway listens") }
+    }
+
+    /// Tries to connect as a caller.
+    pub(crate) async fn try_caller(&self) -> Result<Caller, WireError> {
+        Ok(Caller { conn: connect(self.callers).await? })
+    }
+
+    /// Sends one request on a connection of its own.
+    pub(crate) async fn get(&self, path: &str) -> Answer {
+        self.caller().await.request(Method::GET, path, &[]).await.expect("an answer")
+    }
+
+    pub(crate) async fn post(&self, path: &str) -> Answer {
+        self.caller().await.request(Method::POST, path, &[]).await.expect("an answer")
+    }
+
+    pub(crate) async fn ready_status(&self) -> StatusCode {
+        let mut caller = Caller { conn: connect(self.ready).await.expect("it listens") };
+        caller.request(Method::GET, "/readyz", &[]).await.expect("an answer").status
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<ClientConn, WireError> {
+    Connector { address, timeout: PATIENCE }.connect().await
+}
+
+impl Caller {
+    /// Sends a request and reads its whole answer.
+    pub(crate) async fn request(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<Answer, WireError> {
+        self.send(method.clone(), path, headers).await?;
+        self.answer(&method).await
+    }
+
+    pub(crate) async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<(), WireError> {
+        let mut map = HeaderMap::new();
+        for (name, value) in [("host", HOST), ("baobabvane-request-id", "r1")].iter().chain(headers)
+        {
+            let value = HeaderValue::from_str(value).expect("a header value");
+            map.insert(HeaderName::from_static(name), value);
+        }
+        let body = if method == Method::POST { Bytes::from_static(b"body") } else { Bytes::new() };
+        self.conn.send(&method, &path.parse().expect("a path"), &map, body).await
+    }
+
+    pub(crate) async fn answer(&mut self, method: &Method) -> Result<Answer, WireError> {
+        let head = self.conn.read_head(method).await?;
+        let body = self.conn.read_body(1 << 20).await?;
+        let (parts, ()) = head.into_parts();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Ok(Answer { status: parts.status, headers: parts.headers, body })
+    }
+
+    /// Reads the head of an answer and the pieces until it ends or breaks off.
+    pub(crate) async fn pieces(&mut self) -> (String, Result<(), WireError>) {
+        let mut text = String::new();
+        if let Err(e) = self.conn.read_head(&Method::POST).await {
+            return (text, Err(e));
+        }
+        loop {
+            match self.conn.next_piece().await {
+                Ok(Some(piece)) => text += &String::from_utf8_lossy(&piece),
+                Ok(None) => return (text, Ok(())),
+                Err(e) => return (text, Err(e)),
+            }
+        }
+    }
+
+    /// Resolves when the gateway has closed the connection without an answer.
+    pub(crate) async fn closed(&mut self) -> bool {
+        self.conn.read_head(&Method::GET).await.is_err()
+    }
+}
+
+/// Returns the text of the events from one number to another.
+pub(crate) fn events(from: u64, to: u64) -> String {
+    (from..=to).map(|n| format!("id: {n}\ndata: {n}\n\n")).collect()
+}
+
+/// Returns an organisation with one key.
+pub(crate) fn organisation(name: &str, key: &str) -> Organisation {
+    Organisation { name: name.to_owned(), api_keys: vec![key.to_owned()], rank: None, quota: None }
+}
+
+/// Waits until something is so.
+pub(crate) async fn eventually(mut holds: impl FnMut() -> bool) {
+    let began = monoio::time::Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "it did not happen in time");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
