gateway, platform: two instances watch the store in time, the others learn from them

Ruled out (trial with each read logged): a wrong offset, a lost answer, a silent connection. Change: the instances that come first among those that reach the store wait for 0.8 of the bound at most, drawn anew each time; the others wait for up to 10 s and learn by heartbeat, after 150 ms in place of 300.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -453,16 +453,20 @@
     }
 
     fn log_dispatched(&self, grant: &Grant) {
-        let Incoming { route, version, pool, organisation, .. } = &self.incoming;
+        let Incoming { route, version, pool, organisation, prompt, .. } = &self.incoming;
         let organisation = organisation.as_ref().map_or("-", |o| o.name.as_str());
         let why = &grant.why;
         log::info!(
             "event=dispatched request={} route={} organisation={organisation} pool={pool} \
-             endpoint={} expected_ms={:.0} cached_tokens={} waited_ms={:.0} waiting={} \
-             in_flight={} room={} time_left_ms={} version={version}",
+             endpoint={} prompt_tokens={} answer_tokens={} of={} expected_ms={:.0} \
+             cached_tokens={} waited_ms={:.0} waiting={} in_flight={} room={} \
+             time_left_ms={} version={version}",
             self.id(),
             route.name,
             grant.id,
+            prompt.tokens,
+            prompt.answer_tokens,
+            prompt.max_answer_tokens,
             grant.expected_ms,
             grant.cached_tokens,
             why.waited_ms,
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -8,7 +8,7 @@
 };
 
 use baobabvane_members::SharedKey;
-use monoio::time::Instant;
+use monoio::time::{Instant, sleep};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -42,21 +42,41 @@
     table: RefCell<Rc<RouteTable>>,
     /// When the source of the configuration last said that it is the newest.
     confirmed_at: Cell<Option<Instant>>,
+    /// When this instance itself last reached the store.
+    reached_at: Cell<Option<Instant>>,
     endpoints_version: Cell<u64>,
     has_endpoints: Cell<bool>,
     key: RefCell<Option<SharedKey>>,
+    /// How many of the instances that reach the store come before this one.
+    rank: Cell<u32>,
     scheduler: Mailbox<ToScheduler>,
 }
 
+/// The part of a bound that a wait for news may take; the rest is for the way to
+/// the other instances.
+const WAIT_SHARE: f64 = 0.8;
+/// Waits are drawn from this part of the longest one on, so that instances do not
+/// ask all at the same time.
+const MIN_WAIT_SHARE: f64 = 0.5;
+/// Instances that ask within the bound; the others learn from them. Two, so that
+/// news are not late when one of them fails.
+const WATCHERS: u32 = 2;
+/// How long the other instances wait.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+/// How often a waiting instance looks whether it has become a watcher.
+const LISTEN: Duration = Duration::from_millis(200);
+
 impl Knowledge {
     pub(crate) fn new(scheduler: Mailbox<ToScheduler>) -> Self {
         Self {
             configuration: RefCell::default(),
             table: RefCell::default(),
             confirmed_at: Cell::new(None),
+            reached_at: Cell::new(None),
             endpoints_version: Cell::new(0),
             has_endpoints: Cell::new(false),
             key: RefCell::new(None),
+            rank: Cell::new(0),
             scheduler,
         }
     }
@@ -77,6 +97,21 @@
         *self.key.borrow_mut() = Some(key);
     }
 
+    pub(crate) fn set_rank(&self, rank: u32) {
+        self.rank.set(rank);
+    }
+
+    /// Takes a peer's word that the configuration in force was the newest so long ago.
+    pub(crate) fn confirmed_by_peer(&self, version: u64, age: Duration) {
+        if version != self.table.borrow().version {
+            return;
+        }
+        let at = Instant::now().checked_sub(age);
+        if at > self.confirmed_at.get() {
+            self.confirmed_at.set(at);
+        }
+    }
+
     pub(crate) fn versions(&self) -> Versions {
         Versions {
             configuration: self.table.borrow().version,
@@ -96,7 +131,12 @@
 
     /// Returns how long ago the configuration was known to be the newest, in milliseconds.
     pub(crate) fn confirmed_age_ms(&self) -> Option<u64> {
-        self.confirmed_at.get().map(|at| at.elapsed().as_millis() as u64)
+        self.confirmed_at.get().map(age_ms)
+    }
+
+    /// Returns how long ago this instance itself reached the store, in milliseconds.
+    pub(crate) fn reached_age_ms(&self) -> Option<u64> {
+        self.reached_at.get().map(age_ms)
     }
 
     /// Takes over a configuration unless it is older than the one in force.
@@ -143,6 +183,10 @@
     }
 }
 
+fn age_ms(at: Instant) -> u64 {
+    at.elapsed().as_millis() as u64
+}
+
 /// The port through which an adapter tells an instance what the platform says.
 ///
 /// Nothing here waits; what is told is in force for the next request.
@@ -161,7 +205,9 @@
 
     /// The source of the configuration has nothing newer than what it said before.
     pub fn configuration_confirmed(&self) {
-        self.knowledge.confirmed_at.set(Some(Instant::now()));
+        let now = Some(Instant::now());
+        self.knowledge.confirmed_at.set(now);
+        self.knowledge.reached_at.set(now);
     }
 
     /// Discovery lists an endpoint, or its entry changed.
@@ -200,6 +246,30 @@
         self.scheduler.send(ToScheduler::SourceAnswers);
     }
 
+    /// Draws how long a read of the store may wait for news, so that the fleet learns
+    /// of them within `bound`.
+    ///
+    /// A store may not wake a read that waits, and a connection may fall silent. Some
+    /// instances therefore ask again in time, and tell the others.
+    pub fn wait_for_news(&self, bound: Duration) -> Duration {
+        let longest = if self.is_watcher() { bound.mul_f64(WAIT_SHARE) } else { MAX_WAIT };
+        longest.mul_f64(rand::random_range(MIN_WAIT_SHARE..1.0))
+    }
+
+    /// Resolves when this instance has become one of those that have to ask in time.
+    pub async fn became_watcher(&self) {
+        if self.is_watcher() {
+            return std::future::pending().await;
+        }
+        while !self.is_watcher() {
+            sleep(LISTEN).await;
+        }
+    }
+
+    fn is_watcher(&self) -> bool {
+        self.knowledge.rank.get() < WATCHERS
+    }
+
     /// Other instances may be at these addresses.
     pub fn peers_known(&self, peers: Vec<SocketAddr>) {
         self.peers.send(ToPeers::Known(peers));
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
-    beat::Beat,
+    beat::{Beat, News},
     roster::{Received, Roster},
 };
 use crate::{knowledge::Knowledge, message::Mailbox, scheduler::ToScheduler};
@@ -31,7 +31,7 @@
 /// The largest heartbeat that is read, in bytes: some hundred endpoints fit.
 const MAX_BEAT_BYTES: usize = 16 * 1024;
 /// An instance that is behind waits this long for its own store before it asks a peer.
-const BEHIND: Duration = Duration::from_millis(300);
+const BEHIND: Duration = Duration::from_millis(150);
 
 /// Names an instance: where it listens for others.
 pub(crate) type PeerId = SocketAddr;
@@ -180,6 +180,10 @@
         if self.roster.receive(&beat, now) != Received::New {
             return;
         }
+        if let Some(age) = beat.news.confirmed_age_ms {
+            let version = beat.news.versions.configuration;
+            self.knowledge.confirmed_by_peer(version, Duration::from_millis(age));
+        }
         let state = PeerState { peer: beat.from, incarnation: beat.incarnation, local: beat.local };
         self.scheduler.send(ToScheduler::Peer(state));
     }
@@ -188,8 +192,12 @@
         let Some(key) = self.key.clone() else { return };
         let Some(local) = self.scheduler.ask(ToScheduler::Local).await else { return };
         let now = self.now_ms();
-        let versions = self.knowledge.versions();
-        let (beat, to) = self.roster.next_beat(local, versions, now);
+        let news = News {
+            versions: self.knowledge.versions(),
+            confirmed_age_ms: self.knowledge.confirmed_age_ms(),
+            reached_age_ms: self.knowledge.reached_age_ms(),
+        };
+        let (beat, to) = self.roster.next_beat(local, news, now);
         let bytes = beat.encode(&key);
         for peer in to {
             // A lost or refused datagram is made up for by the next one.
@@ -198,6 +206,7 @@
     }
 
     fn publish(&mut self) {
+        self.knowledge.set_rank(self.roster.rank(self.now_ms()));
         let counts = self.roster.counts(self.now_ms());
         if counts != self.heard {
             self.heard = counts;
--- a/crates/gateway/src/peer/beat.rs
+++ b/crates/gateway/src/peer/beat.rs
@@ -20,13 +20,22 @@
     /// Grows with each heartbeat of an incarnation.
     pub(super) counter: u64,
     pub(super) is_leaving: bool,
-    /// How new the sender's knowledge is.
-    pub(super) versions: Versions,
+    pub(super) news: News,
     pub(super) local: LocalState,
     /// Some of the instances that the sender hears.
     pub(super) hears: Vec<PeerId>,
 }
 
+/// How new the sender's knowledge is, and how it knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct News {
+    pub(super) versions: Versions,
+    /// How long ago the sender's configuration was the newest, in milliseconds.
+    pub(super) confirmed_age_ms: Option<u64>,
+    /// How long ago the sender itself reached the store, in milliseconds.
+    pub(super) reached_age_ms: Option<u64>,
+}
+
 /// Why a message was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(super) enum MessageError {
@@ -83,7 +92,11 @@
             incarnation: 7,
             counter: 1,
             is_leaving: false,
-            versions: Versions { configuration: 3, endpoints: 9 },
+            news: News {
+                versions: Versions { configuration: 3, endpoints: 9 },
+                confirmed_age_ms: Some(40),
+                reached_age_ms: None,
+            },
             local: LocalState::default(),
             hears: vec![],
         };
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::{LocalState, PeerId, beat::Beat};
+use super::{
+    LocalState, PeerId,
+    beat::{Beat, News},
+};
 use crate::knowledge::Versions;
 
 /// A heartbeat goes to this many peers; in larger fleets they take turns.
@@ -14,6 +17,9 @@
 /// A peer that was not heard for this long is taken to be gone for good; it has to
 /// be longer than any pause or cut after which a process goes on.
 const FORGET_MS: u64 = 30_000;
+/// An instance that heard from the store within this time is taken to reach it; one
+/// that watches the store asks more often.
+const REACHES_MS: u64 = 4_000;
 /// Peers that are named in one heartbeat.
 const NAMED: usize = 4;
 
@@ -33,6 +39,8 @@
     /// When it was heard, or first named, in milliseconds.
     at_ms: u64,
     versions: Versions,
+    /// When it reached the store, in milliseconds of our time.
+    reached_at_ms: Option<u64>,
 }
 
 /// The instances that are known.
@@ -54,7 +62,12 @@
     /// Notes instances that may be there.
     pub(super) fn learn(&mut self, peers: &[PeerId], now_ms: u64) {
         for peer in peers.iter().filter(|p| **p != self.own) {
-            let unheard = Peer { last: None, at_ms: now_ms, versions: Versions::default() };
+            let unheard = Peer {
+                last: None,
+                at_ms: now_ms,
+                versions: Versions::default(),
+                reached_at_ms: None,
+            };
             self.peers.entry(*peer).or_insert(unheard);
         }
     }
@@ -76,7 +89,8 @@
         }
         peer.last = Some((beat.incarnation, beat.counter));
         peer.at_ms = now_ms;
-        peer.versions = beat.versions;
+        peer.versions = beat.news.versions;
+        peer.reached_at_ms = beat.news.reached_age_ms.map(|age| now_ms.saturating_sub(age));
         if beat.is_leaving {
             self.peers.remove(&beat.from);
         }
@@ -87,7 +101,7 @@
     pub(super) fn next_beat(
         &mut self,
         local: LocalState,
-        versions: Versions,
+        news: News,
         now_ms: u64,
     ) -> (Beat, Vec<PeerId>) {
         self.peers.retain(|_, p| now_ms.saturating_sub(p.at_ms) < FORGET_MS);
@@ -99,7 +113,7 @@
             incarnation: self.incarnation,
             counter: self.counter,
             is_leaving: self.is_leaving,
-            versions,
+            news,
             local,
             hears: heard.skip(skipped).take(NAMED).collect(),
         };
@@ -121,6 +135,15 @@
         (heard as u32 + 1, known as u32 + 1)
     }
 
+    /// Returns how many peers that are heard and reach the store come before this
+    /// instance; all instances that hear the same agree on the order.
+    pub(super) fn rank(&self, now_ms: u64) -> u32 {
+        let reaches =
+            |p: &Peer| p.reached_at_ms.is_some_and(|at| now_ms.saturating_sub(at) < REACHES_MS);
+        let before = self.peers.range(..self.own).map(|(_, p)| p);
+        before.filter(|p| self.is_heard(p, now_ms) && reaches(p)).count() as u32
+    }
+
     /// Returns a peer that knows something newer.
     pub(super) fn ahead_of(&self, own: Versions, now_ms: u64) -> Option<PeerId> {
         let mut heard = self.peers.iter().filter(|(_, p)| self.is_heard(p, now_ms));
@@ -147,7 +170,8 @@
 
     fn beat(from: &mut Roster, configuration: u64) -> Beat {
         let versions = Versions { configuration, endpoints: 0 };
-        from.next_beat(LocalState::default(), versions, 0).0
+        let news = News { versions, reached_age_ms: Some(0), ..News::default() };
+        from.next_beat(LocalState::default(), news, 0).0
     }
 
     #[test]
@@ -158,7 +182,7 @@
         let from_b = beat(&mut b, 0);
         c.receive(&from_b, 0);
         assert_eq!(c.counts(0), (2, 2));
-        let (_, to) = c.next_beat(LocalState::default(), Versions::default(), 0);
+        let (_, to) = c.next_beat(LocalState::default(), News::default(), 0);
         assert_eq!(to, [id(1), id(2)]);
     }
 
@@ -184,6 +208,16 @@
         assert_eq!(b.counts(2_000), (1, 1));
     }
 
+    #[test]
+    fn only_instances_that_reach_the_store_come_before_others() {
+        let (mut a, mut b, mut c) = (roster(1), roster(2), roster(3));
+        let from_b = b.next_beat(LocalState::default(), News::default(), 0).0;
+        c.receive(&beat(&mut a, 0), 0);
+        c.receive(&from_b, 0);
+        assert_eq!((a.rank(0), c.rank(0)), (0, 1));
+        assert_eq!(c.rank(5_000), 0);
+    }
+
     #[test]
     fn a_peer_with_a_newer_configuration_is_ahead() {
         let (mut a, mut b) = (roster(1), roster(2));
