decide: a request's own length hint counts, and unknown endpoints are like their pool

Change: a hinted length is used as it is; a new endpoint starts with its pool's speeds; nothing is refused as late before the pool has learned its speed.

--- a/crates/decide/benches/decision_cost.rs
+++ b/crates/decide/benches/decision_cost.rs
@@ -57,6 +57,8 @@
             kind: KindId(0),
             prompt_tokens: 200,
             answer_tokens: 30,
+            is_hinted: false,
+            goal: None,
             prefix: Default::default(),
             deadline: self.now + 60_000.0,
             streamed: true,
--- a/crates/decide/examples/decisions/sim.rs
+++ b/crates/decide/examples/decisions/sim.rs
@@ -231,6 +231,8 @@
             kind: arrival.kind.id,
             prompt_tokens: arrival.prompt_tokens,
             answer_tokens: arrival.kind.answer_tokens,
+            is_hinted: false,
+            goal: None,
             prefix: arrival.prefix.clone(),
             deadline: arrival.at + arrival.kind.deadline_ms,
             streamed: true,
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -16,8 +16,8 @@
     choose::{Chooser, Draw},
     endpoint::Endpoint,
     event::{
-        Action, Descriptor, Elsewhere, EndpointKey, Event, KindId, Millis, Rank, Refusal, Ticket,
-        Why,
+        Action, Descriptor, Elsewhere, EndpointKey, Event, KindId, Millis, Rank, Refusal, Speed,
+        Ticket, Why,
     },
     learn::{Average, Rate},
     policy::{Placement, Policy, TierPolicy},
@@ -91,9 +91,9 @@
             budget: RetryBudget::new(),
             draw: Draw::new(policy.seed),
             answers: FxHashMap::default(),
-            base_ms: Average::new(20.0, 0.05),
-            prefill_ms: Average::new(0.2, 0.05),
-            decode_ms: Average::new(25.0, 0.05),
+            base_ms: Average::new(Speed::default().base_ms, 0.05),
+            prefill_ms: Average::new(Speed::default().prefill_ms, 0.05),
+            decode_ms: Average::new(Speed::default().decode_ms, 0.05),
             cost_per_slot_ms: Average::new(1.0, 0.02),
             dispatched: Rate::new(CAPACITY_WINDOW_MS),
             dispatched_by_tier: Vec::new(),
@@ -150,6 +150,15 @@
         self.queue.get(ticket).is_some()
     }
 
+    /// Returns how fast the pool's endpoints are on average.
+    pub fn speed(&self) -> Speed {
+        Speed {
+            base_ms: self.base_ms.get(),
+            prefill_ms: self.prefill_ms.get(),
+            decode_ms: self.decode_ms.get(),
+        }
+    }
+
     /// Lists what this core has at its endpoints, leaving out those that are idle.
     pub fn loads(&self) -> impl Iterator<Item = (EndpointKey, Elsewhere)> {
         let busy = self.endpoints.iter().filter(|(_, e)| e.in_flight() > 0);
@@ -199,12 +208,17 @@
         let cost = base + prefill + write / DECODE_BATCH;
         // A cached prefix may save nearly all of the reading.
         let read = if req.prefix.is_empty() { prefill } else { 0.0 };
-        let latest_start = req.deadline - base - read - write * SHORT_ANSWER;
+        let latest_start = match self.prefill_ms.is_learned() {
+            true => req.deadline - base - read - write * SHORT_ANSWER,
+            // Before anything is learned, the estimates say nothing of this pool.
+            false => req.deadline,
+        };
         Waiting { descriptor: req, since: self.now, cost, latest_start }
     }
 
     fn answer_tokens(&self, req: &Descriptor) -> f64 {
         match self.answers.get(&req.kind) {
+            _ if req.is_hinted => f64::from(req.answer_tokens),
             Some(learned) if learned.is_learned() => learned.get(),
             _ => f64::from(req.answer_tokens),
         }
--- a/crates/decide/src/core/endpoints.rs
+++ b/crates/decide/src/core/endpoints.rs
@@ -24,7 +24,8 @@
         match self.endpoints.get_mut(key) {
             Some(endpoint) => endpoint.update(spec),
             None => {
-                let endpoint = Endpoint::new(spec, self.policy.adaptive_limit, self.now);
+                let endpoint =
+                    Endpoint::new(spec, self.policy.adaptive_limit, self.now, self.speed());
                 self.endpoints.insert(key, endpoint);
                 self.room.allow(key);
             }
@@ -103,6 +104,8 @@
             kind: KindId(1),
             prompt_tokens: 10,
             answer_tokens: 1,
+            is_hinted: false,
+            goal: None,
             prefix: Default::default(),
             deadline: now + 60_000.0,
             streamed: true,
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -2,17 +2,11 @@
 
 use crate::{
     breaker::Breaker,
-    event::{Elsewhere, EndpointSpec, Millis, Report},
+    event::{Elsewhere, EndpointSpec, Millis, Report, Speed},
     learn::{Average, Line},
     limit::Limit,
 };
 
-/// Time to the first token that does not depend on the prompt, before any is learned.
-const PRIOR_BASE_MS: Millis = 20.0;
-/// Time to read a token of the prompt, before any is learned.
-const PRIOR_PREFILL_MS: Millis = 0.2;
-/// Time to write a token of the answer, before any is learned.
-const PRIOR_DECODE_MS: Millis = 25.0;
 /// Prompts with fewer unread tokens teach the base time, longer ones the reading speed.
 const SHORT_PROMPT_TOKENS: u32 = 200;
 /// Answers with fewer tokens say little on the writing speed.
@@ -106,7 +100,8 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(spec: &EndpointSpec, adaptive: bool, now: Millis) -> Self {
+    /// Makes an endpoint of which nothing is known but what others of its pool are like.
+    pub(crate) fn new(spec: &EndpointSpec, adaptive: bool, now: Millis, prior: Speed) -> Self {
         Self {
             leaving: false,
             breaker: Breaker::new(),
@@ -118,9 +113,9 @@
             long_prefills: 0,
             longs: 0,
             awaited_first_tokens: 0,
-            base_ms: Average::new(PRIOR_BASE_MS, LEARN_STEP),
-            prefill_ms: Average::new(PRIOR_PREFILL_MS, LEARN_STEP),
-            decode_ms: Line::new(PRIOR_DECODE_MS, LEARN_STEP),
+            base_ms: Average::new(prior.base_ms, LEARN_STEP),
+            prefill_ms: Average::new(prior.prefill_ms, LEARN_STEP),
+            decode_ms: Line::new(prior.decode_ms, LEARN_STEP),
             heard_at: now,
             reported: 0,
             foreign: 0.0,
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -45,6 +45,10 @@
     pub prompt_tokens: u32,
     /// Expected length of the answer, in tokens, until the kind's is learned.
     pub answer_tokens: u32,
+    /// Whether the expected length is about this request, and better than the kind's.
+    pub is_hinted: bool,
+    /// When the answer has to begin to be worth most, where that is known.
+    pub goal: Option<Goal>,
     /// Hashes of the prompt's blocks.
     pub prefix: PrefixBlocks,
     /// When the caller stops waiting for the answer's end.
@@ -55,6 +59,15 @@
     pub failed_at: FailedAt,
 }
 
+/// What makes an answer timely.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Goal {
+    /// When the first token has to come.
+    pub first_token_by: Millis,
+    /// The longest pause between pieces of the answer.
+    pub max_gap_ms: Millis,
+}
+
 /// Endpoints at which a request has failed.
 pub type FailedAt = SmallVec<[EndpointKey; 2]>;
 
@@ -85,6 +98,24 @@
     pub unread_tokens: u32,
 }
 
+/// How fast an endpoint is.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Time to the first token that does not depend on the prompt.
+    pub base_ms: Millis,
+    /// Time to read a token of the prompt.
+    pub prefill_ms: Millis,
+    /// Time to write a token of the answer.
+    pub decode_ms: Millis,
+}
+
+impl Default for Speed {
+    /// Returns what is taken for granted before anything is learned.
+    fn default() -> Self {
+        Self { base_ms: 20.0, prefill_ms: 0.2, decode_ms: 25.0 }
+    }
+}
+
 /// How a dispatched request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -275,6 +275,8 @@
             kind: KindId(0),
             prompt_tokens: 0,
             answer_tokens: 1,
+            is_hinted: false,
+            goal: None,
             prefix: smallvec![],
             deadline: 1000.0,
             streamed: true,
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -135,6 +135,8 @@
             kind: KindId(u32::from(long)),
             prompt_tokens: if long { 4_000 } else { 100 },
             answer_tokens: if long { 300 } else { 10 },
+            is_hinted: false,
+            goal: None,
             prefix: (0..if long { 8 } else { 0 }).map(|b| org * 100 + b).collect(),
             deadline: self.now + patience,
             streamed: true,
--- a/crates/entry/examples/footprint.rs
+++ b/crates/entry/examples/footprint.rs
@@ -51,6 +51,8 @@
         kind: KindId(0),
         prompt_tokens: 2_000,
         answer_tokens: 100,
+        is_hinted: false,
+        goal: None,
         prefix: (0..8).map(|b| org * 8 + b).collect(),
         deadline: 1e9,
         streamed: true,
--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -62,6 +62,8 @@
         kind: kind.id,
         prompt_tokens: prompt.prompt_tokens,
         answer_tokens,
+        is_hinted: false,
+        goal: None,
         prefix: prompt.prefix.clone(),
         deadline: 0.0,
         streamed: prompt.stream,
--- a/crates/entry/src/caller/plain.rs
+++ b/crates/entry/src/caller/plain.rs
@@ -36,6 +36,8 @@
         kind: kind.id,
         prompt_tokens: 0,
         answer_tokens: 1,
+        is_hinted: false,
+        goal: None,
         prefix: Default::default(),
         deadline: 0.0,
         streamed: true,
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -240,6 +240,8 @@
             kind: KindId(id_hash(&route.name)),
             prompt_tokens: prompt.tokens,
             answer_tokens: prompt.answer_tokens.max(1),
+            is_hinted: prompt.is_hinted,
+            goal: None,
             prefix: prompt.blocks.clone(),
             deadline: self.time_left().as_secs_f64() * 1_000.0,
             streamed: is_stream,
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -20,6 +20,8 @@
     pub(crate) max_answer_tokens: u32,
     /// The expected tokens of the answer.
     pub(crate) answer_tokens: u32,
+    /// Whether the caller estimated the answer's tokens.
+    pub(crate) is_hinted: bool,
     /// Hashes of the prompt's blocks, each over all before it.
     pub(crate) blocks: PrefixBlocks,
 }
@@ -32,7 +34,8 @@
         let hint = headers::number(headers, &names.length_hint).map(|h| h as u32);
         let answer_tokens = hint.unwrap_or(max_answer_tokens).min(max_answer_tokens).max(1);
         let parts = headers::text(headers, &names.prompt_parts).unwrap_or("");
-        Self { tokens, max_answer_tokens, answer_tokens, blocks: blocks(parts) }
+        let is_hinted = hint.is_some();
+        Self { tokens, max_answer_tokens, answer_tokens, is_hinted, blocks: blocks(parts) }
     }
 
     /// Returns what the request counts in tokens, if it says so.
