decide: endpoints are chosen by what a request would miss there

Change: a request with a goal is scored by deadline, first token and reading beside other answers; where nothing is missed, emptier and slower endpoints come first.

--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     endpoint::Endpoint,
-    event::{Choice, Descriptor, EndpointKey, Millis},
+    event::{Choice, Descriptor, EndpointKey, Goal, Millis},
     policy::{Placement, Policy},
     prefix::{Holder, PrefixIndex},
     ready::Ready,
@@ -18,6 +18,18 @@
 const DEADLINE_MARGIN: f64 = 1.2;
 /// Endpoints with room that are judged, best first; those beyond would not be chosen.
 const MAX_LOOKED_AT: usize = 16;
+/// A goal may be met by any endpoint, also by a slow one.
+const MAX_LOOKED_AT_FOR_GOAL: usize = 128;
+/// The part of the time to a goal, and of the longest pause, that an estimate may fill.
+const GOAL_SHARE: f64 = 0.75;
+/// An answer may be this many times as long as estimated, and has to end in time.
+const LENGTH_MARGIN: f64 = 1.5;
+/// What is missed counts more than any choice among endpoints that miss nothing.
+const MISSED_DEADLINE: f64 = 1e6;
+const MISSED_GOAL: f64 = 1e5;
+const LONG_PAUSE: f64 = 1e4;
+/// What a fast endpoint is spared for requests that need it, against its being full.
+const SPARE_FAST: f64 = 0.4;
 /// A request waits for another one's reading only with this much time to spare.
 const WAITING_MARGIN: f64 = 3.0;
 
@@ -29,6 +41,8 @@
     pub(crate) room: &'a Room,
     pub(crate) ready: &'a Ready,
     pub(crate) now: Millis,
+    /// Time to read a token, on average over the pool.
+    pub(crate) pool_prefill_ms: Millis,
 }
 
 /// A choice together with what the endpoint has to be told to expect.
@@ -57,6 +71,7 @@
         let others = self.ready.iter().filter(|key| holders.iter().all(|h| h.endpoint != *key));
         let mut best: Option<(f64, Placed)> = None;
         let mut looked_at = 0;
+        let most = if req.goal.is_some() { MAX_LOOKED_AT_FOR_GOAL } else { MAX_LOOKED_AT };
         for key in near.chain(others) {
             let Some(endpoint) = self.endpoints.get(key) else { continue };
             if endpoint.free(self.now) == 0 || self.is_avoided(req, key) {
@@ -71,7 +86,7 @@
                 best = Some((score, placed));
             }
             looked_at += 1;
-            if looked_at == MAX_LOOKED_AT {
+            if looked_at == most {
                 break;
             }
         }
@@ -95,10 +110,17 @@
         let long_prefill = prefill > self.policy.long_prefill_ms;
         let is_long = prefill + write > self.policy.long_service_ms;
         let is_holder = 2 * cached_tokens > req.prompt_tokens;
-        if !self.room.allows(endpoint, key, long_prefill, is_long && !is_holder) {
+        if req.goal.is_none()
+            && !self.room.allows(endpoint, key, long_prefill, is_long && !is_holder)
+        {
             return None;
         }
         let first_token_ms = endpoint.first_token_ms(unread_tokens);
+        if let Some(goal) = req.goal {
+            let score = self.goal_score(req, goal, endpoint, unread_tokens, write);
+            let choice = Choice { endpoint: key, first_token_ms, cached_tokens };
+            return Some((score, Placed { choice, unread_tokens, long_prefill, is_long }));
+        }
         if !self.is_in_time(req, endpoint, first_token_ms + write) {
             return None;
         }
@@ -108,6 +130,34 @@
         Some((score, Placed { choice, unread_tokens, long_prefill, is_long }))
     }
 
+    /// Scores an endpoint by what would be missed there; among endpoints at which
+    /// nothing is, emptier and slower ones come first, so that fast ones are free for
+    /// long prompts.
+    fn goal_score(
+        &self,
+        req: &Descriptor,
+        goal: Goal,
+        endpoint: &Endpoint,
+        unread_tokens: u32,
+        write_ms: Millis,
+    ) -> f64 {
+        let first_token_ms = endpoint.first_token_ms(unread_tokens);
+        let mut score = 0.0;
+        if self.now + first_token_ms + write_ms * LENGTH_MARGIN > req.deadline {
+            score += MISSED_DEADLINE + first_token_ms + write_ms;
+        }
+        if first_token_ms > (goal.first_token_by - self.now) * GOAL_SHARE {
+            score += MISSED_GOAL + first_token_ms;
+        }
+        // Reading holds up the answers that are being written beside it.
+        let reading_ms = endpoint.backlog_ms(unread_tokens);
+        if reading_ms > goal.max_gap_ms * GOAL_SHARE {
+            score += LONG_PAUSE + reading_ms;
+        }
+        let relative_speed = self.pool_prefill_ms / endpoint.prefill_ms().max(f64::MIN_POSITIVE);
+        score + endpoint.fullness() + SPARE_FAST * relative_speed
+    }
+
     /// Says whether a repeat has to go elsewhere, where there is an elsewhere.
     fn is_avoided(&self, req: &Descriptor, key: EndpointKey) -> bool {
         req.failed_at.contains(&key)
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -302,6 +302,7 @@
             room: &self.room,
             ready: &self.ready,
             now: self.now,
+            pool_prefill_ms: self.prefill_ms.get(),
         }
     }
 
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -182,6 +182,17 @@
         self.base_ms.get() + tokens * self.prefill_ms.get()
     }
 
+    /// Estimates how long the endpoint reads before all prompts are read.
+    pub(crate) fn backlog_ms(&self, unread_tokens: u32) -> Millis {
+        let ahead = f64::from(self.unread_tokens) + f64::from(self.elsewhere.unread_tokens);
+        (ahead + f64::from(unread_tokens)) * self.prefill_ms.get()
+    }
+
+    /// Returns the part of the slots that is taken, by all schedulers.
+    pub(crate) fn fullness(&self) -> f64 {
+        f64::from(self.in_flight + self.elsewhere.requests) / f64::from(self.slots.max(1))
+    }
+
     pub(crate) fn prefill_ms(&self) -> Millis {
         self.prefill_ms.get()
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -35,7 +35,7 @@
     core::{Core, Counts},
     event::{
         Action, Choice, Descriptor, Elsewhere, Ending, EndpointKey, EndpointSpec, Event, FailedAt,
-        KindId, Millis, OrgId, PrefixBlocks, Rank, Refusal, Report, Speed, Ticket, Why,
+        Goal, KindId, Millis, OrgId, PrefixBlocks, Rank, Refusal, Report, Speed, Ticket, Why,
     },
     policy::{Placement, Policy, TierPolicy},
 };
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use baobabvane_decide::{Descriptor, Ending, EndpointKey, FailedAt, KindId, OrgId, Refusal};
+use baobabvane_decide::{Descriptor, Ending, EndpointKey, FailedAt, Goal, KindId, OrgId, Refusal};
 use baobabvane_domain::Verdict;
 use baobabvane_wire::{ClientConn, Response, WireError};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -241,7 +241,7 @@
             prompt_tokens: prompt.tokens,
             answer_tokens: prompt.answer_tokens.max(1),
             is_hinted: prompt.is_hinted,
-            goal: None,
+            goal: is_stream.then(|| self.goal()),
             prefix: prompt.blocks.clone(),
             deadline: self.time_left().as_secs_f64() * 1_000.0,
             streamed: is_stream,
@@ -256,6 +256,16 @@
         }
     }
 
+    /// What makes the answer timely; like the deadline, it counts from the offer.
+    fn goal(&self) -> Goal {
+        let target = Duration::from_millis(self.incoming.route.target_ms);
+        let left = target.saturating_sub(self.incoming.began.elapsed());
+        Goal {
+            first_token_by: left.as_secs_f64() * 1_000.0,
+            max_gap_ms: self.incoming.route.max_gap_ms as f64,
+        }
+    }
+
     fn usage(&self) -> Option<Usage> {
         let organisation = self.incoming.organisation.as_ref()?;
         let units = match organisation.quota?.unit {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -197,6 +197,9 @@
         let mut descriptor = descriptor;
         // The caller counts from the offer, the core from its own start.
         descriptor.deadline += now;
+        if let Some(goal) = &mut descriptor.goal {
+            goal.first_token_by += now;
+        }
         self.handle(&pool, Event::Offer(ticket, descriptor));
     }
 
