gateway: no adaptive limits where instances tell each other what is in flight

Ruled out: leaked counts (in flight over all instances was 153 of 180). Change: the gateway's cores use the slots that the engines state.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -153,7 +153,7 @@
         render: RenderMetrics,
     ) -> io::Result<Gateway<Serving>> {
         let Self { settings, state } = self;
-        let scheduler = scheduler::spawn(Policy::default());
+        let scheduler = scheduler::spawn(Policy { adaptive_limit: false, ..Policy::default() });
         let knowledge = Rc::new(Knowledge::new(scheduler.clone()));
         let peers: Mailbox<ToPeers> =
             peer::spawn(settings.peer_listen, Rc::clone(&knowledge), scheduler.clone())?;
