--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -23,7 +23,7 @@
 /// The part of the time to a goal, and of the longest pause, that an estimate may fill.
 const GOAL_SHARE: f64 = 0.75;
 /// An answer may be this many times as long as estimated, and has to end in time.
-const LENGTH_MARGIN: f64 = 1.5;
+const LENGTH_MARGIN: f64 = 2.5;
 /// What is missed counts more than any choice among endpoints that miss nothing.
 const MISSED_DEADLINE: f64 = 1e6;
 const MISSED_GOAL: f64 = 1e5;
