--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -5,7 +5,9 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use baobabvane_decide::{Descriptor, Ending, EndpointKey, FailedAt, Goal, KindId, OrgId, Refusal};
+use baobabvane_decide::{
+    Descriptor, Ending, EndpointKey, FailedAt, Goal, KindId, OrgId, Rank, Refusal,
+};
 use baobabvane_domain::Verdict;
 use baobabvane_wire::{ClientConn, Response, WireError};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -37,6 +39,8 @@
 /// A caller that was refused for load comes back after the wait of its tier, within these.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_000);
+/// Ranks beyond this one are taken for it, so that two fit into one number.
+const MAX_RANK: u8 = 15;
 /// An endpoint that owes the first piece of an answer that may be repeated is given up
 /// after this many times the route's target.
 const SILENT_TARGETS: u32 = 4;
@@ -231,10 +235,9 @@
 
     fn order(&self, is_repeat: bool, was_charged: bool) -> Order {
         let Incoming { route, prompt, organisation, .. } = &self.incoming;
-        let rank = organisation.as_ref().and_then(|o| o.rank).unwrap_or(route.rank);
         let is_stream = route.semantics == Semantics::Stream;
         let descriptor = Descriptor {
-            rank,
+            rank: self.rank(),
             org: OrgId(organisation.as_ref().map_or(0, |o| id_hash(&o.name).into())),
             weight: 1,
             kind: KindId(id_hash(&route.name)),
@@ -256,6 +259,14 @@
         }
     }
 
+    /// The organisation's rank goes first; requests of one rank are told apart by their
+    /// route's.
+    fn rank(&self) -> Rank {
+        let route = self.incoming.route.rank.min(MAX_RANK);
+        let organisation = self.incoming.organisation.as_ref().and_then(|o| o.rank);
+        organisation.unwrap_or(route).min(MAX_RANK) * (MAX_RANK + 1) + route
+    }
+
     /// What makes the answer timely; like the deadline, it counts from the offer.
     fn goal(&self) -> Goal {
         let target = Duration::from_millis(self.incoming.route.target_ms);
@@ -470,12 +481,13 @@
         let why = &grant.why;
         log::info!(
             "event=dispatched request={} route={} organisation={organisation} pool={pool} \
-             endpoint={} prompt_tokens={} answer_tokens={} of={} expected_ms={:.0} \
+             endpoint={} rank={} prompt_tokens={} answer_tokens={} of={} expected_ms={:.0} \
              cached_tokens={} waited_ms={:.0} waiting={} in_flight={} room={} \
              time_left_ms={} version={version}",
             self.id(),
             route.name,
             grant.id,
+            self.rank(),
             prompt.tokens,
             prompt.answer_tokens,
             prompt.max_answer_tokens,
