decide: long answers wait for an engine that can end them in time

Change: an endpoint where the estimates miss the deadline is no choice while it has work; lateness is judged by the endpoint that is fastest for the request.

--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -117,6 +117,10 @@
         }
         let first_token_ms = endpoint.first_token_ms(unread_tokens);
         if let Some(goal) = req.goal {
+            // Where it could not end in time even if the estimates hold, it had better wait.
+            if self.now + first_token_ms + write > req.deadline && endpoint.in_flight() > 0 {
+                return None;
+            }
             let score = self.goal_score(req, goal, endpoint, unread_tokens, write);
             let choice = Choice { endpoint: key, first_token_ms, cached_tokens };
             return Some((score, Placed { choice, unread_tokens, long_prefill, is_long }));
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -208,14 +208,30 @@
         let cost = base + prefill + write / DECODE_BATCH;
         // A cached prefix may save nearly all of the reading.
         let read = if req.prefix.is_empty() { prefill } else { 0.0 };
+        let needed = match req.goal {
+            Some(_) => self.least_time(&req, answer),
+            None => base + read + write * SHORT_ANSWER,
+        };
         let latest_start = match self.prefill_ms.is_learned() {
-            true => req.deadline - base - read - write * SHORT_ANSWER,
+            true => req.deadline - needed,
             // Before anything is learned, the estimates say nothing of this pool.
             false => req.deadline,
         };
         Waiting { descriptor: req, since: self.now, cost, latest_start }
     }
 
+    /// Estimates the time that the request needs at the endpoint that is fastest for it.
+    fn least_time(&self, req: &Descriptor, answer: f64) -> Millis {
+        let needed = self.endpoints.values().filter(|e| !e.leaving).map(|e| {
+            let read = match req.prefix.is_empty() {
+                true => f64::from(req.prompt_tokens) * e.prefill_ms(),
+                false => 0.0,
+            };
+            e.base_ms() + read + answer * e.idle_decode_ms() * SHORT_ANSWER
+        });
+        needed.fold(f64::INFINITY, f64::min)
+    }
+
     fn answer_tokens(&self, req: &Descriptor) -> f64 {
         match self.answers.get(&req.kind) {
             _ if req.is_hinted => f64::from(req.answer_tokens),
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -202,6 +202,11 @@
         self.decode_ms.at(f64::from(self.in_flight + self.elsewhere.requests + 1))
     }
 
+    /// Estimates the time between two tokens of a request that is alone.
+    pub(crate) fn idle_decode_ms(&self) -> Millis {
+        self.decode_ms.at(1.0)
+    }
+
     /// Says whether the endpoint holds a long request in any phase.
     pub(crate) fn has_long(&self) -> bool {
         self.longs > 0
