decide: requests that missed their goal wait behind the others of their tier

Cause: in an overload a tier's queue went by deadline, so that all of it waited one to four seconds and all of it was late. Change: a tier has two lines; a request whose goal has passed goes to the second one, and yields first.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -217,7 +217,7 @@
             // Before anything is learned, the estimates say nothing of this pool.
             false => req.deadline,
         };
-        Waiting { descriptor: req, since: self.now, cost, latest_start }
+        Waiting { descriptor: req, since: self.now, cost, latest_start, is_late: false }
     }
 
     /// Estimates the time that the request needs at the endpoint that is fastest for it.
@@ -245,6 +245,7 @@
             return;
         }
         self.drop_late();
+        self.queue.demote_late(self.now);
         while self.queue.len() > 0 && self.dispatch_one() {}
         self.shed();
     }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -42,6 +42,28 @@
     pub(crate) cost: f64,
     /// After this moment the answer cannot come in time.
     pub(crate) latest_start: Millis,
+    /// Whether the time of its goal has passed.
+    pub(crate) is_late: bool,
+}
+
+impl Waiting {
+    fn line(&self) -> Line {
+        Line { rank: self.descriptor.rank, is_late: self.is_late }
+    }
+}
+
+/// A part of a tier; requests that missed their goal wait behind those that did not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Line {
+    rank: Rank,
+    is_late: bool,
+}
+
+impl Line {
+    /// Returns both lines of a tier, in the order of their turns.
+    fn of(rank: Rank) -> [Self; 2] {
+        [false, true].map(|is_late| Self { rank, is_late })
+    }
 }
 
 #[derive(Debug, Default)]
@@ -73,7 +95,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     waiting: FxHashMap<Ticket, Waiting>,
-    tiers: BTreeMap<Rank, TierQueue>,
+    lines: BTreeMap<Line, TierQueue>,
+    by_goal: BTreeSet<(Ordered, Ticket)>,
     by_latest_start: BTreeSet<(Ordered, Ticket)>,
     fair_share: bool,
 }
@@ -98,31 +121,56 @@
 
     /// Lists the tiers that have waiting requests, most urgent first.
     pub(crate) fn ranks(&self) -> impl DoubleEndedIterator<Item = Rank> {
-        self.tiers.iter().filter(|(_, tier)| tier.len > 0).map(|(rank, _)| *rank)
+        let taken = self.lines.iter().filter(|(_, line)| line.len > 0);
+        let ranks: SmallVec<[Rank; 8]> = taken.map(|(line, _)| line.rank).collect();
+        let is_first = |i: usize| i == 0 || ranks[i - 1] != ranks[i];
+        let distinct: SmallVec<[Rank; 8]> =
+            (0..ranks.len()).filter(|i| is_first(*i)).map(|i| ranks[i]).collect();
+        distinct.into_iter()
     }
 
     pub(crate) fn tier_len(&self, rank: Rank) -> u32 {
-        self.tiers.get(&rank).map_or(0, |t| t.len)
+        self.lines_of(rank).map(|l| l.len).sum()
     }
 
     pub(crate) fn tier_cost(&self, rank: Rank) -> f64 {
-        self.tiers.get(&rank).map_or(0.0, |t| t.cost)
+        self.lines_of(rank).map(|l| l.cost).sum()
     }
 
     /// Returns the cost of all that waits at the rank and above it.
     pub(crate) fn cost_up_to(&self, rank: Rank) -> f64 {
-        self.tiers.range(..=rank).map(|(_, t)| t.cost).sum()
+        self.lines.range(..=Line { rank, is_late: true }).map(|(_, l)| l.cost).sum()
     }
 
     pub(crate) fn len_below(&self, rank: Rank) -> u32 {
-        self.tiers.range(rank + 1..).map(|(_, t)| t.len).sum()
+        let last = Line { rank, is_late: true };
+        self.lines.iter().filter(|(line, _)| **line > last).map(|(_, l)| l.len).sum()
+    }
+
+    fn lines_of(&self, rank: Rank) -> impl Iterator<Item = &TierQueue> {
+        Line::of(rank).into_iter().filter_map(|line| self.lines.get(&line))
+    }
+
+    /// Moves requests behind the others of their tier once they have missed their goal.
+    pub(crate) fn demote_late(&mut self, now: Millis) {
+        while let Some((goal, ticket)) = self.by_goal.first().copied() {
+            if goal.0 > now {
+                return;
+            }
+            let Some(mut waiting) = self.remove(ticket) else { return };
+            waiting.is_late = true;
+            self.push(ticket, waiting);
+        }
     }
 
     pub(crate) fn push(&mut self, ticket: Ticket, waiting: Waiting) {
         let d = &waiting.descriptor;
         let org = self.share_of(d.org);
         self.by_latest_start.insert((Ordered(waiting.latest_start), ticket));
-        let tier = self.tiers.entry(d.rank).or_default();
+        if let Some(goal) = d.goal.filter(|_| !waiting.is_late) {
+            self.by_goal.insert((Ordered(goal.first_token_by), ticket));
+        }
+        let tier = self.lines.entry(waiting.line()).or_default();
         tier.push(org, f64::from(d.weight.max(1)), d.deadline, ticket, waiting.cost);
         self.waiting.insert(ticket, waiting);
     }
@@ -132,18 +180,20 @@
     /// More than one, so that a request that has to wait for an endpoint of its
     /// own does not hold up those behind it.
     pub(crate) fn heads(&self, rank: Rank) -> SmallVec<[Ticket; MAX_HEADS]> {
-        let Some(tier) = self.tiers.get(&rank) else { return SmallVec::new() };
-        let first_of =
-            |(_, org): &(Ordered, OrgId)| tier.orgs[org].by_deadline.iter().take(MAX_HEADS);
-        let tickets = tier.by_start.iter().flat_map(first_of).map(|(_, ticket)| *ticket);
-        tickets.take(MAX_HEADS).collect()
+        let heads = |tier: &TierQueue| -> SmallVec<[Ticket; MAX_HEADS]> {
+            let first_of =
+                |(_, org): &(Ordered, OrgId)| tier.orgs[org].by_deadline.iter().take(MAX_HEADS);
+            let tickets = tier.by_start.iter().flat_map(first_of).map(|(_, ticket)| *ticket);
+            tickets.take(MAX_HEADS).collect()
+        };
+        self.lines_of(rank).flat_map(heads).take(MAX_HEADS).collect()
     }
 
     /// Takes a request out to dispatch it, and charges its organisation.
     pub(crate) fn dispatch(&mut self, ticket: Ticket) -> Option<Waiting> {
         let waiting = self.remove(ticket)?;
         let org = self.share_of(waiting.descriptor.org);
-        if let Some(tier) = self.tiers.get_mut(&waiting.descriptor.rank) {
+        if let Some(tier) = self.lines.get_mut(&waiting.line()) {
             tier.charge(org, f64::from(waiting.descriptor.weight.max(1)), waiting.cost);
         }
         Some(waiting)
@@ -152,7 +202,7 @@
     /// Corrects an organisation's charge when the true cost is known.
     pub(crate) fn correct(&mut self, rank: Rank, org: OrgId, weight: u32, difference: f64) {
         let org = self.share_of(org);
-        if let Some(tier) = self.tiers.get_mut(&rank) {
+        if let Some(tier) = self.lines.get_mut(&Line { rank, is_late: false }) {
             tier.correct(org, f64::from(weight.max(1)), difference);
         }
     }
@@ -163,7 +213,10 @@
         let d = &waiting.descriptor;
         let org = self.share_of(d.org);
         self.by_latest_start.remove(&(Ordered(waiting.latest_start), ticket));
-        if let Some(tier) = self.tiers.get_mut(&d.rank) {
+        if let Some(goal) = d.goal {
+            self.by_goal.remove(&(Ordered(goal.first_token_by), ticket));
+        }
+        if let Some(tier) = self.lines.get_mut(&waiting.line()) {
             tier.remove(org, d.deadline, ticket, waiting.cost);
         }
         Some(waiting)
@@ -178,7 +231,8 @@
     /// Returns the request of a tier that yields first: the last one of the
     /// organisation that is furthest over its share.
     pub(crate) fn victim(&self, rank: Rank) -> Option<Ticket> {
-        let tier = self.tiers.get(&rank)?;
+        // Those that missed their goal have less to lose.
+        let tier = self.lines_of(rank).filter(|l| l.len > 0).last()?;
         let (_, org) = tier.by_finish.last()?;
         tier.orgs[org].by_deadline.last().map(|(_, ticket)| *ticket)
     }
@@ -282,7 +336,7 @@
             streamed: true,
             failed_at: smallvec![],
         };
-        let waiting = Waiting { descriptor, since: 0.0, cost, latest_start: 500.0 };
+        let waiting = Waiting { descriptor, since: 0.0, cost, latest_start: 500.0, is_late: false };
         queue.push(Ticket(ticket), waiting);
     }
 
@@ -297,6 +351,23 @@
         assert!(served.contains(&2), "{served:?}");
     }
 
+    #[test]
+    fn a_request_that_missed_its_goal_waits_behind_those_that_did_not() {
+        let mut queue = Queue::new(true);
+        for (ticket, first_token_by) in [(1, 100.0), (2, 900.0)] {
+            let goal = Some(crate::event::Goal { first_token_by, max_gap_ms: 500.0 });
+            push(&mut queue, ticket, 1, 10.0);
+            let mut waiting = queue.remove(Ticket(ticket)).unwrap();
+            waiting.descriptor.goal = goal;
+            queue.push(Ticket(ticket), waiting);
+        }
+        assert_eq!(queue.heads(0)[..], [Ticket(1), Ticket(2)]);
+        queue.demote_late(500.0);
+        assert_eq!(queue.heads(0)[..], [Ticket(2), Ticket(1)]);
+        assert_eq!(queue.victim(0), Some(Ticket(1)));
+        assert_eq!((queue.len(), queue.tier_len(0)), (2, 2));
+    }
+
     #[test]
     fn the_organisation_furthest_over_its_share_yields_first() {
         let mut queue = Queue::new(true);
