docs, entry: the platform's design note, operations, developers' page; logs that never block

Lines go to standard output by a thread of their own, at most 1,000 a second and 1,024 waiting; what is left out is counted and said.

--- a/crates/entry/examples/quickstart.rs
+++ b/crates/entry/examples/quickstart.rs
@@ -47,9 +47,7 @@
 }
 
 fn main() -> Result<()> {
-    if std::env::var_os("RUST_LOG").is_some() {
-        baobabvane::install_logger();
-    }
+    let _guard = std::env::var_os("RUST_LOG").map(|_| baobabvane::install_logger());
     let log = LogService::spawn();
     let fast = Engine::spawn(EngineSpeed { prefill_us: 50, decode_us: 4_000 });
     let slow = Engine::spawn(EngineSpeed { prefill_us: 200, decode_us: 12_000 });
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,4 +31,4 @@
 pub use daemon::{Daemon, Serving, Starting, StopHandle};
 pub use embedded::Embedded;
 pub use settings::{Operator, Peer, Settings, SettingsError};
-pub use telemetry::{install_logger, install_metrics};
+pub use telemetry::{LogGuard, install_logger, install_metrics};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -7,7 +7,7 @@
 use clap::Command;
 
 fn main() -> ExitCode {
-    baobabvane::install_logger();
+    let _guard = baobabvane::install_logger();
     let matches = create_command().get_matches();
     let result = match matches.subcommand() {
         Some(("gateway", args)) => cmd::gateway::execute(args),
