--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -57,6 +57,8 @@
     /// For how long a configuration is surely in force after its source said so, in
     /// milliseconds; later, requests that it does not allow are told to come back.
     pub confirmation_ms: u64,
+    /// Entries of endpoints lapse when the store is away for this long, in milliseconds.
+    pub lapse_ms: u64,
 }
 
 /// An instance in a state of its life.
@@ -153,8 +155,11 @@
         render: RenderMetrics,
     ) -> io::Result<Gateway<Serving>> {
         let Self { settings, state } = self;
-        let scheduler = scheduler::spawn(Policy { adaptive_limit: false, ..Policy::default() });
-        let knowledge = Rc::new(Knowledge::new(scheduler.clone()));
+        // Endpoints state their slots, and instances tell each other what is in flight.
+        let policy = Policy { adaptive_limit: false, ..Policy::default() };
+        let scheduler = scheduler::spawn(policy);
+        let lapse = Duration::from_millis(settings.lapse_ms);
+        let knowledge = Rc::new(Knowledge::new(scheduler.clone(), lapse));
         let peers: Mailbox<ToPeers> =
             peer::spawn(settings.peer_listen, Rc::clone(&knowledge), scheduler.clone())?;
         let max_age = Duration::from_millis(settings.confirmation_ms);
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     configuration::{Configuration, Sighting},
+    directory::EndpointList,
     message::Mailbox,
     peer::ToPeers,
     retry::RetryBudget,
@@ -22,11 +23,11 @@
 
 /// How new an instance's knowledge is; larger is newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Versions {
+pub(crate) struct Versions {
     /// The version of the configuration.
-    pub configuration: u64,
+    pub(crate) configuration: u64,
     /// How far the list of endpoints was read.
-    pub endpoints: u64,
+    pub(crate) endpoints: u64,
 }
 
 impl Versions {
@@ -46,9 +47,13 @@
     reached_at: Cell<Option<Instant>>,
     endpoints_version: Cell<u64>,
     has_endpoints: Cell<bool>,
+    /// Entries of endpoints lapse when the store is away for this long.
+    lapse: Duration,
     key: RefCell<Option<SharedKey>>,
     /// How many of the instances that reach the store come before this one.
     rank: Cell<u32>,
+    /// Instances that are heard, this one included.
+    heard: Cell<u32>,
     scheduler: Mailbox<ToScheduler>,
 }
 
@@ -61,22 +66,30 @@
 /// Instances that ask within the bound; the others learn from them. Two, so that
 /// news are not late when one of them fails.
 const WATCHERS: u32 = 2;
-/// How long the other instances wait.
-const MAX_WAIT: Duration = Duration::from_secs(10);
-/// How often a waiting instance looks whether it has become a watcher.
+/// How often an instance that does not ask looks whether it has to.
 const LISTEN: Duration = Duration::from_millis(200);
+/// Instances that have to ask after all do not all begin at once; this fits between
+/// heartbeats that tell that one of them has.
+const TAKE_OVER: Duration = Duration::from_millis(500);
+/// The word of others counts for this many bounds.
+const TRUSTED_BOUNDS: u32 = 2;
+/// In a fleet of this size, an instance whose call failed waits as long as if it were
+/// alone; in larger ones longer, so that the store is not asked more often.
+const ASKING_TOGETHER: f64 = 8.0;
 
 impl Knowledge {
-    pub(crate) fn new(scheduler: Mailbox<ToScheduler>) -> Self {
+    pub(crate) fn new(scheduler: Mailbox<ToScheduler>, lapse: Duration) -> Self {
         Self {
             configuration: RefCell::default(),
             table: RefCell::default(),
             confirmed_at: Cell::new(None),
             reached_at: Cell::new(None),
             endpoints_version: Cell::new(0),
+            lapse,
             has_endpoints: Cell::new(false),
             key: RefCell::new(None),
             rank: Cell::new(0),
+            heard: Cell::new(1),
             scheduler,
         }
     }
@@ -97,8 +110,9 @@
         *self.key.borrow_mut() = Some(key);
     }
 
-    pub(crate) fn set_rank(&self, rank: u32) {
+    pub(crate) fn set_rank(&self, rank: u32, heard: u32) {
         self.rank.set(rank);
+        self.heard.set(heard);
     }
 
     /// Takes a peer's word that the configuration in force was the newest so long ago.
@@ -163,26 +177,39 @@
         self.scheduler.send(ToScheduler::Configure(configuration));
     }
 
-    fn list(&self, endpoints: Vec<Sighting>, version: u64) {
+    fn list(&self, endpoints: EndpointList, version: u64) {
         self.has_endpoints.set(true);
         self.endpoints_version.set(self.endpoints_version.get().max(version));
         self.scheduler.send(ToScheduler::Listed(endpoints));
     }
 
+    fn read_up_to(&self, read: u64) {
+        self.endpoints_version.set(self.endpoints_version.get().max(read));
+    }
+
     /// Takes over what a peer knows where it is newer.
-    pub(crate) fn take_from_peer(
-        &self,
-        versions: Versions,
-        configuration: Configuration,
-        endpoints: Vec<Sighting>,
-    ) {
-        self.configure(configuration, "peer");
-        if versions.endpoints > self.endpoints_version.get() {
-            self.list(endpoints, versions.endpoints);
+    pub(crate) fn take_from_peer(&self, snapshot: Snapshot) {
+        if let Some(configuration) = snapshot.configuration {
+            self.configure(configuration, "peer");
+        }
+        if let Some(endpoints) = snapshot.endpoints
+            && snapshot.versions.endpoints > self.endpoints_version.get()
+        {
+            self.list(endpoints, snapshot.versions.endpoints);
         }
     }
 }
 
+/// What an instance tells another one that knows less.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Snapshot {
+    pub(crate) versions: Versions,
+    /// The configuration, where the other's is older.
+    pub(crate) configuration: Option<Configuration>,
+    /// All endpoints, where the other's list is older.
+    pub(crate) endpoints: Option<EndpointList>,
+}
+
 fn age_ms(at: Instant) -> u64 {
     at.elapsed().as_millis() as u64
 }
@@ -222,13 +249,12 @@
 
     /// Discovery lists these endpoints and no others; `version` is how far it was read.
     pub fn endpoints_listed(&self, endpoints: Vec<Sighting>, version: u64) {
-        self.knowledge.list(endpoints, version);
+        self.knowledge.list(EndpointList { endpoints, held: Vec::new() }, version);
     }
 
     /// Discovery was read so far.
     pub fn endpoints_read(&self, version: u64) {
-        let newest = self.knowledge.endpoints_version.get().max(version);
-        self.knowledge.endpoints_version.set(newest);
+        self.knowledge.read_up_to(version);
     }
 
     /// How far discovery was read, by this instance or by the peer that it learned from.
@@ -237,8 +263,12 @@
     }
 
     /// Discovery cannot be asked; what is known stays in force.
+    ///
+    /// Entries can have lapsed only when no instance reached the store for long enough.
     pub fn discovery_lost(&self) {
-        self.scheduler.send(ToScheduler::SourceLost);
+        if !self.knowledge.is_confirmed_within(self.knowledge.lapse) {
+            self.scheduler.send(ToScheduler::SourceLost);
+        }
     }
 
     /// Discovery answered.
@@ -249,25 +279,40 @@
     /// Draws how long a read of the store may wait for news, so that the fleet learns
     /// of them within `bound`.
     ///
-    /// A store may not wake a read that waits, and a connection may fall silent. Some
-    /// instances therefore ask again in time, and tell the others.
+    /// A store may not wake a read that waits, and a connection may fall silent.
     pub fn wait_for_news(&self, bound: Duration) -> Duration {
-        let longest = if self.is_watcher() { bound.mul_f64(WAIT_SHARE) } else { MAX_WAIT };
-        longest.mul_f64(rand::random_range(MIN_WAIT_SHARE..1.0))
+        bound.mul_f64(WAIT_SHARE * rand::random_range(MIN_WAIT_SHARE..1.0))
     }
 
-    /// Resolves when this instance has become one of those that have to ask in time.
-    pub async fn became_watcher(&self) {
-        if self.is_watcher() {
-            return std::future::pending().await;
+    /// Resolves when this instance has to ask the store.
+    ///
+    /// A few instances that reach it watch it; the others learn from them, as long as
+    /// these say within some bounds that they have the newest.
+    pub async fn has_to_ask(&self, bound: Duration) {
+        if self.must_ask(bound) {
+            return;
         }
-        while !self.is_watcher() {
+        loop {
             sleep(LISTEN).await;
+            if self.must_ask(bound) {
+                sleep(TAKE_OVER.mul_f64(rand::random())).await;
+                if self.must_ask(bound) {
+                    return;
+                }
+            }
         }
     }
 
-    fn is_watcher(&self) -> bool {
-        self.knowledge.rank.get() < WATCHERS
+    /// Draws how long to wait after a call that failed, by the pause of an instance
+    /// that is alone.
+    pub fn pause_after_failure(&self, alone: Duration) -> Duration {
+        let together = f64::from(self.knowledge.heard.get()) / ASKING_TOGETHER;
+        alone.mul_f64(together.max(1.0) * rand::random_range(0.5..1.5))
+    }
+
+    fn must_ask(&self, bound: Duration) -> bool {
+        let is_watcher = self.knowledge.rank.get() < WATCHERS;
+        is_watcher || !self.knowledge.is_confirmed_within(bound * TRUSTED_BOUNDS)
     }
 
     /// Other instances may be at these addresses.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 };
 pub use daemon::{Gateway, GatewaySettings, Serving, Starting, StopHandle};
 pub use headers::HeaderNames;
-pub use knowledge::{Feed, Versions};
+pub use knowledge::Feed;
 pub use message::Mailbox;
 pub use ready::RenderMetrics;
 pub use retry::RetryBudget;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -30,8 +30,8 @@
 const BEAT: Duration = Duration::from_millis(100);
 /// The largest heartbeat that is read, in bytes: some hundred endpoints fit.
 const MAX_BEAT_BYTES: usize = 16 * 1024;
-/// An instance that is behind waits this long for its own store before it asks a peer.
-const BEHIND: Duration = Duration::from_millis(150);
+/// An instance that is behind waits this long for the store to tell it the same.
+const BEHIND: Duration = Duration::from_millis(50);
 
 /// Names an instance: where it listens for others.
 pub(crate) type PeerId = SocketAddr;
@@ -206,8 +206,8 @@
     }
 
     fn publish(&mut self) {
-        self.knowledge.set_rank(self.roster.rank(self.now_ms()));
         let counts = self.roster.counts(self.now_ms());
+        self.knowledge.set_rank(self.roster.rank(self.now_ms()), counts.0);
         if counts != self.heard {
             self.heard = counts;
             let (heard, known) = counts;
@@ -219,7 +219,7 @@
     /// Fetches from a peer what this instance has not learned from its own store in time.
     fn catch_up(&mut self) {
         let versions = self.knowledge.versions();
-        let Some(ahead) = self.roster.ahead_of(versions, self.now_ms()) else {
+        let Some(ahead) = self.roster.ahead_of(versions, self.now_ms(), rand::random()) else {
             self.behind_since = None;
             return;
         };
--- a/crates/gateway/src/peer/beat.rs
+++ b/crates/gateway/src/peer/beat.rs
@@ -93,7 +93,7 @@
             counter: 1,
             is_leaving: false,
             news: News {
-                versions: Versions { configuration: 3, endpoints: 9 },
+                versions: Versions { configuration: 3, ..Versions::default() },
                 confirmed_age_ms: Some(40),
                 reached_age_ms: None,
             },
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -13,8 +13,7 @@
 
 use super::beat::{MessageError, open, seal};
 use crate::{
-    configuration::{Configuration, Sighting},
-    knowledge::{Knowledge, Versions},
+    knowledge::{Knowledge, Snapshot, Versions},
     message::Mailbox,
     scheduler::ToScheduler,
 };
@@ -31,14 +30,6 @@
     versions: Versions,
 }
 
-/// All that an instance knows from the platform.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Snapshot {
-    versions: Versions,
-    configuration: Configuration,
-    endpoints: Vec<Sighting>,
-}
-
 #[derive(Debug, Error)]
 enum SyncError {
     #[error("connection failed: {0}")]
@@ -79,13 +70,15 @@
 ) -> Result<(), SyncError> {
     let key = knowledge.key().ok_or(SyncError::NoKey)?;
     let bytes = read_message(&mut stream).await?;
-    let _: Request = open(&bytes, &key)?;
-    let endpoints = scheduler.ask(ToScheduler::Endpoints).await.unwrap_or_default();
-    let snapshot = Snapshot {
-        versions: knowledge.versions(),
-        configuration: (*knowledge.configuration()).clone(),
-        endpoints,
+    let request: Request = open(&bytes, &key)?;
+    let versions = knowledge.versions();
+    let configuration = (versions.configuration > request.versions.configuration)
+        .then(|| (*knowledge.configuration()).clone());
+    let endpoints = match versions.endpoints > request.versions.endpoints {
+        true => scheduler.ask(ToScheduler::Endpoints).await,
+        false => None,
     };
+    let snapshot = Snapshot { versions, configuration, endpoints };
     write_message(&mut stream, &snapshot, &key).await
 }
 
@@ -95,12 +88,11 @@
     match fetched.unwrap_or(Err(SyncError::TimedOut)) {
         Ok(snapshot) => {
             log::info!(
-                "event=fetched_from_peer peer={peer} version={} endpoints={}",
+                "event=fetched_from_peer peer={peer} version={} endpoints={:?}",
                 snapshot.versions.configuration,
-                snapshot.endpoints.len()
+                snapshot.endpoints.as_ref().map(|list| list.endpoints.len())
             );
-            let Snapshot { versions, configuration, endpoints } = snapshot;
-            knowledge.take_from_peer(versions, configuration, endpoints);
+            knowledge.take_from_peer(snapshot);
         }
         Err(e) => log::warn!("event=fetch_failed peer={peer} error={:?}", e.to_string()),
     }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -20,7 +20,7 @@
 pub(crate) use self::order::{Grant, Order, Refused, Usage, id_hash};
 use crate::{
     configuration::{Configuration, Engine, Sighting},
-    directory::{Change, Directory},
+    directory::{Change, Directory, EndpointList},
     message::Mailbox,
     peer::{LocalState, PeerState},
     retry::{RetryBudget, RetryWindow},
@@ -44,7 +44,7 @@
     /// Discovery does not list an endpoint any more.
     Gone(String),
     /// Discovery lists these endpoints and no others.
-    Listed(Vec<Sighting>),
+    Listed(EndpointList),
     /// Discovery cannot be asked.
     SourceLost,
     /// Discovery answered.
@@ -73,7 +73,7 @@
     /// Asks for what the other instances should know.
     Local(oneshot::Sender<LocalState>),
     /// Asks for all endpoints.
-    Endpoints(oneshot::Sender<Vec<Sighting>>),
+    Endpoints(oneshot::Sender<EndpointList>),
 }
 
 struct PoolState {
@@ -179,8 +179,7 @@
                 let _ = reply.send(self.local_state());
             }
             ToScheduler::Endpoints(reply) => {
-                let list = self.directory.iter().map(|(_, s)| s.clone()).collect();
-                let _ = reply.send(list);
+                let _ = reply.send(self.directory.list(now));
             }
         }
     }
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -60,12 +60,21 @@
     }
 
     pub(super) fn admit(&mut self, usage: &Usage, now: f64) -> Result<(), f64> {
+        let age_ms = self.mean_age_ms(now);
         match self.buckets.get_mut(&id_hash(&usage.organisation.name)) {
-            Some(bucket) => bucket.admit(usage.units, now),
+            Some(bucket) => bucket.admit(usage.units, now, age_ms),
             None => Ok(()),
         }
     }
 
+    /// Returns how old the other instances' words are on average.
+    fn mean_age_ms(&self, now: f64) -> f64 {
+        let ages = self.peers.values().map(|p| (now - p.heard_at_ms).max(0.0));
+        let heard = ages.filter(|age| *age < LOAD_MAX_AGE_MS);
+        let (sum, count) = heard.fold((0.0, 0.0), |(sum, count), age| (sum + age, count + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     pub(super) fn give_back(&mut self, usage: &Usage) {
         if let Some(bucket) = self.buckets.get_mut(&id_hash(&usage.organisation.name)) {
             bucket.give_back(usage.units);
