--- a/crates/entry/tests/testsuite/main.rs
+++ b/crates/entry/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod hostile;
 mod many;
+mod platform;
 mod process;
 mod serving;
 mod session;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -57,6 +57,8 @@
     /// For how long a configuration is surely in force after its source said so, in
     /// milliseconds; later, requests that it does not allow are told to come back.
     pub confirmation_ms: u64,
+    /// Within this time each instance has to know what was written, in milliseconds.
+    pub news_bound_ms: u64,
     /// Entries of endpoints lapse when the store is away for this long, in milliseconds.
     pub lapse_ms: u64,
 }
@@ -159,9 +161,14 @@
         let policy = Policy { adaptive_limit: false, ..Policy::default() };
         let scheduler = scheduler::spawn(policy);
         let lapse = Duration::from_millis(settings.lapse_ms);
+        let news_bound = Duration::from_millis(settings.news_bound_ms);
         let knowledge = Rc::new(Knowledge::new(scheduler.clone(), lapse));
-        let peers: Mailbox<ToPeers> =
-            peer::spawn(settings.peer_listen, Rc::clone(&knowledge), scheduler.clone())?;
+        let peers: Mailbox<ToPeers> = peer::spawn(
+            settings.peer_listen,
+            news_bound,
+            Rc::clone(&knowledge),
+            scheduler.clone(),
+        )?;
         let max_age = Duration::from_millis(settings.confirmation_ms);
         let feed = Feed { knowledge: Rc::clone(&knowledge), scheduler: scheduler.clone(), peers };
         let cx = Rc::new(Context::new(names, knowledge, scheduler, max_age));
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -59,7 +59,7 @@
 
 /// The part of a bound that a wait for news may take; the rest is for the way to
 /// the other instances.
-const WAIT_SHARE: f64 = 0.8;
+const WAIT_SHARE: f64 = 0.5;
 /// Waits are drawn from this part of the longest one on, so that instances do not
 /// ask all at the same time.
 const MIN_WAIT_SHARE: f64 = 0.5;
@@ -67,10 +67,10 @@
 /// news are not late when one of them fails.
 const WATCHERS: u32 = 2;
 /// How often an instance that does not ask looks whether it has to.
-const LISTEN: Duration = Duration::from_millis(200);
+const LISTEN: Duration = Duration::from_millis(50);
 /// Instances that have to ask after all do not all begin at once; this fits between
 /// heartbeats that tell that one of them has.
-const TAKE_OVER: Duration = Duration::from_millis(500);
+const TAKE_OVER: Duration = Duration::from_millis(200);
 /// The word of others counts for this many bounds.
 const TRUSTED_BOUNDS: u32 = 2;
 /// In a fleet of this size, an instance whose call failed waits as long as if it were
@@ -237,6 +237,12 @@
         self.knowledge.reached_at.set(now);
     }
 
+    /// This instance does not reach the store any more; others are told at once, so that
+    /// they ask in its place.
+    pub fn store_lost(&self) {
+        self.knowledge.reached_at.set(None);
+    }
+
     /// Discovery lists an endpoint, or its entry changed.
     pub fn endpoint_seen(&self, sighting: Sighting) {
         self.scheduler.send(ToScheduler::Seen(sighting));
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -30,6 +30,9 @@
 const BEAT: Duration = Duration::from_millis(100);
 /// The largest heartbeat that is read, in bytes: some hundred endpoints fit.
 const MAX_BEAT_BYTES: usize = 16 * 1024;
+/// An instance reaches the store if it did within this part of the bound for news; those
+/// that watch the store ask within half of the bound, and heartbeats take their time.
+const REACHES_SHARE: f64 = 0.75;
 /// An instance that is behind waits this long for the store to tell it the same.
 const BEHIND: Duration = Duration::from_millis(50);
 
@@ -90,19 +93,21 @@
 /// When the address cannot be bound.
 pub(crate) fn spawn(
     address: SocketAddr,
+    news_bound: Duration,
     knowledge: Rc<Knowledge>,
     scheduler: Mailbox<ToScheduler>,
 ) -> io::Result<Mailbox<ToPeers>> {
     let socket = Rc::new(UdpSocket::bind(address)?);
     let listener = TcpListener::bind(address)?;
     let (mailbox, rx) = Mailbox::new();
+    let reaches = news_bound.mul_f64(REACHES_SHARE);
     let peers = Peers {
         socket: Rc::clone(&socket),
         mailbox: mailbox.clone(),
         scheduler: scheduler.clone(),
         knowledge: Rc::clone(&knowledge),
         key: None,
-        roster: Roster::new(address, rand::random()),
+        roster: Roster::new(address, rand::random(), reaches.as_millis() as u64),
         start: Instant::now(),
         behind_since: None,
         is_fetching: false,
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -17,9 +17,6 @@
 /// A peer that was not heard for this long is taken to be gone for good; it has to
 /// be longer than any pause or cut after which a process goes on.
 const FORGET_MS: u64 = 30_000;
-/// An instance that heard from the store within this time is taken to reach it; one
-/// that watches the store asks more often.
-const REACHES_MS: u64 = 4_000;
 /// Peers that are named in one heartbeat.
 const NAMED: usize = 4;
 
@@ -50,13 +47,23 @@
     incarnation: u64,
     counter: u64,
     is_leaving: bool,
+    /// An instance that heard from the store within this time is taken to reach it.
+    reaches_ms: u64,
     peers: BTreeMap<PeerId, Peer>,
     turn: usize,
 }
 
 impl Roster {
-    pub(super) fn new(own: PeerId, incarnation: u64) -> Self {
-        Self { own, incarnation, counter: 0, is_leaving: false, peers: BTreeMap::new(), turn: 0 }
+    pub(super) fn new(own: PeerId, incarnation: u64, reaches_ms: u64) -> Self {
+        Self {
+            own,
+            incarnation,
+            counter: 0,
+            is_leaving: false,
+            reaches_ms,
+            peers: BTreeMap::new(),
+            turn: 0,
+        }
     }
 
     /// Notes instances that may be there.
@@ -138,8 +145,9 @@
     /// Returns how many peers that are heard and reach the store come before this
     /// instance; all instances that hear the same agree on the order.
     pub(super) fn rank(&self, now_ms: u64) -> u32 {
-        let reaches =
-            |p: &Peer| p.reached_at_ms.is_some_and(|at| now_ms.saturating_sub(at) < REACHES_MS);
+        let reaches = |p: &Peer| {
+            p.reached_at_ms.is_some_and(|at| now_ms.saturating_sub(at) < self.reaches_ms)
+        };
         let before = self.peers.range(..self.own).map(|(_, p)| p);
         before.filter(|p| self.is_heard(p, now_ms) && reaches(p)).count() as u32
     }
@@ -167,7 +175,7 @@
     }
 
     fn roster(port: u16) -> Roster {
-        Roster::new(id(port), u64::from(port))
+        Roster::new(id(port), u64::from(port), 1_500)
     }
 
     fn beat(from: &mut Roster, configuration: u64) -> Beat {
@@ -195,7 +203,7 @@
         assert_eq!(b.receive(&second, 0), Received::New);
         assert_eq!(b.receive(&first, 0), Received::Old);
         assert_eq!(b.receive(&second, 0), Received::Old);
-        let mut restarted = Roster::new(id(1), 99);
+        let mut restarted = Roster::new(id(1), 99, 1_500);
         assert_eq!(b.receive(&beat(&mut restarted, 0), 0), Received::New);
     }
 
@@ -217,7 +225,12 @@
         c.receive(&beat(&mut a, 0), 0);
         c.receive(&from_b, 0);
         assert_eq!((a.rank(0), c.rank(0)), (0, 1));
-        assert_eq!(c.rank(5_000), 0);
+        // A peer that lost the store says so, and one that is silent is not waited for.
+        let lost = a.next_beat(LocalState::default(), News::default(), 0).0;
+        c.receive(&lost, 0);
+        assert_eq!(c.rank(0), 0);
+        c.receive(&beat(&mut a, 0), 0);
+        assert_eq!((c.rank(700), c.rank(1_600)), (1, 0));
     }
 
     #[test]
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -152,3 +152,17 @@
         assert_eq!(stage.get("/reads/").await.status, 503);
     });
 }
+
+#[test]
+fn an_instance_that_watches_the_store_asks_again_within_half_of_the_bound() {
+    block_on(async {
+        let stage = Stage::new(&[]).await;
+        let bound = std::time::Duration::from_secs(2);
+        // An instance that is alone watches, and need not wait to be told so.
+        stage.feed.has_to_ask(bound).await;
+        for _ in 0..1_000 {
+            let wait = stage.feed.wait_for_news(bound);
+            assert!(wait <= bound / 2 && wait >= bound / 4, "{wait:?}");
+        }
+    });
+}
--- a/crates/gateway/tests/testsuite/stage.rs
+++ b/crates/gateway/tests/testsuite/stage.rs
@@ -101,6 +101,7 @@
             peer_listen: any,
             grace_ms: 8_000,
             confirmation_ms: 60_000,
+            news_bound_ms: 2_000,
             lapse_ms: 2_400,
         })
         .expect("port 0 is free");
--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,193 @@
+//! An endpoint of the users' platform: streams of events and plain answers, with the
+//! platform's headers, which counts what it ran.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use baobabvane_wire::{Request, Response, ServerConn};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use monoio::time::sleep;
+
+use crate::server::{Handler, Running, spawn};
+
+const ATTEMPT: HeaderName = HeaderName::from_static("x-baobabvane-attempt-id");
+const EXPECTED: HeaderName = HeaderName::from_static("x-baobabvane-expected-instance");
+const SIGNATURE: HeaderName = HeaderName::from_static("x-baobabvane-response-signature");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-baobabvane-not-executed");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+/// Events of a whole stream.
+pub const STREAM_EVENTS: u64 = 12;
+/// Time between two events.
+const EVENT_GAP: Duration = Duration::from_millis(10);
+
+/// What an endpoint does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BackendFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Says that it did not run a request.
+    Sheds,
+    /// Runs requests and answers with an error.
+    Errors,
+    /// Runs requests and closes the connection in place of an answer.
+    LosesAnswers,
+    /// Runs requests and never answers.
+    Hangs,
+    /// Breaks streams off in the middle of an event.
+    CutsStreams,
+    /// Sends an answer to another request first.
+    ExtraAnswers,
+    /// Sends bytes that are no answer.
+    Garbage,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    fault: BackendFault,
+    runs: HashMap<String, u32>,
+}
+
+/// A running endpoint.
+#[derive(Debug)]
+pub struct Backend {
+    running: Running,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Backend {
+    /// Starts an endpoint that answers requests which expect `id`.
+    pub fn spawn(id: &str) -> Self {
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let (handler, id) = (Arc::clone(&shared), id.to_owned());
+        let running = spawn(SocketAddr::from(([127, 0, 0, 1], 0)), move || BackendHandler {
+            id,
+            shared: handler,
+        });
+        Self { running, shared }
+    }
+
+    /// Returns where the endpoint listens.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Sets what the endpoint does wrong from now on.
+    pub fn set_fault(&self, fault: BackendFault) {
+        self.shared.lock().expect("no holder panics").fault = fault;
+    }
+
+    /// Returns how often each attempt ran.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        self.shared.lock().expect("no holder panics").runs.clone()
+    }
+}
+
+struct BackendHandler {
+    id: String,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl BackendHandler {
+    fn fault(&self) -> BackendFault {
+        self.shared.lock().expect("no holder panics").fault
+    }
+
+    async fn stream(&self, conn: &mut ServerConn, req: &Request, headers: HeaderMap) -> bool {
+        let after = header(req, &LAST_EVENT).parse::<u64>().unwrap_or(0);
+        let mut head = Response::new(Bytes::new());
+        *head.headers_mut() = headers;
+        let (parts, _) = head.into_parts();
+        if conn.start_stream(http::Response::from_parts(parts, ())).await.is_err() {
+            return false;
+        }
+        let attempt = header(req, &ATTEMPT);
+        for number in after + 1..=STREAM_EVENTS {
+            sleep(EVENT_GAP).await;
+            if self.fault() == BackendFault::CutsStreams && number > after + 2 {
+                let _ = conn.write_chunk(format!("id: {number}\nda").as_bytes()).await;
+                return false;
+            }
+            let event = format!("id: {number}\ndata: {attempt}\n\n");
+            if conn.write_chunk(event.as_bytes()).await.is_err() {
+                return false;
+            }
+        }
+        conn.end_stream().await.is_ok()
+    }
+}
+
+fn header<'a>(req: &'a Request, name: &HeaderName) -> &'a str {
+    req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+fn signed(attempt: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(attempt) {
+        headers.insert(ATTEMPT, value);
+    }
+    headers.insert(SIGNATURE, HeaderValue::from_static("s"));
+    headers
+}
+
+fn plain(status: StatusCode, headers: HeaderMap, body: String) -> Response {
+    let mut res = Response::new(body.into());
+    *res.status_mut() = status;
+    *res.headers_mut() = headers;
+    res
+}
+
+impl Handler for BackendHandler {
+    async fn handle(&self, conn: &mut ServerConn, req: Request) -> bool {
+        let attempt = header(&req, &ATTEMPT).to_owned();
+        let refused = |status| {
+            let mut headers = HeaderMap::new();
+            headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
+            plain(status, headers, String::new())
+        };
+        if header(&req, &EXPECTED) != self.id {
+            return conn.write_response(refused(StatusCode::MISDIRECTED_REQUEST)).await.is_ok();
+        }
+        let fault = self.fault();
+        if fault == BackendFault::Sheds {
+            return conn.write_response(refused(StatusCode::SERVICE_UNAVAILABLE)).await.is_ok();
+        }
+        *self.shared.lock().expect("no holder panics").runs.entry(attempt.clone()).or_default() +=
+            1;
+        match fault {
+            BackendFault::LosesAnswers => return false,
+            BackendFault::Hangs => {
+                conn.closed().await;
+                return false;
+            }
+            BackendFault::Errors => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                let res = plain(status, signed(&attempt), "error".to_owned());
+                return conn.write_response(res).await.is_ok();
+            }
+            BackendFault::Garbage => {
+                // A chunk outside an answer is no answer.
+                let _ = conn.write_chunk(b"%%%%").await;
+                return false;
+            }
+            BackendFault::ExtraAnswers => {
+                let other = plain(StatusCode::OK, signed("another"), "another".to_owned());
+                if conn.write_response(other).await.is_err() {
+                    return false;
+                }
+            }
+            BackendFault::None | BackendFault::Sheds | BackendFault::CutsStreams => {}
+        }
+        if req.uri().path().starts_with("/stream") {
+            return self.stream(conn, &req, signed(&attempt)).await;
+        }
+        let res = plain(StatusCode::OK, signed(&attempt), format!("answer {attempt}"));
+        conn.write_response(res).await.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,227 @@
+//! Gateways as processes on the stand-in of the users' platform.
+
+use std::{
+    env, fs,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use serde_json::{Value, json};
+
+use crate::{Backend, Proxy, Store, free_addresses};
+
+/// Time bounds that the settings state, in milliseconds.
+const CONNECTIVITY_MS: u64 = 3_000;
+const APPLY_MS: u64 = 2_000;
+const DRAIN_MS: u64 = 2_000;
+const GRACE_S: u64 = 8;
+
+/// A gateway that is started again after it has ended.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    child: Child,
+    /// What the instance reaches the store through.
+    pub store_link: Proxy,
+}
+
+impl GatewayProcess {
+    /// Starts a gateway on a loopback address of its own; its lines go to a file in `folder`.
+    pub fn spawn(binary: &Path, folder: &Path, number: u8, store: &Store) -> Self {
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 10 + number));
+        let ports: Vec<u16> = free_addresses(3).iter().map(SocketAddr::port).collect();
+        let name = format!("entry-{number}-{}", STARTED.fetch_add(1, Ordering::Relaxed));
+        let store_link = Proxy::spawn(store.address());
+        let (callers, ready) = (SocketAddr::new(ip, ports[0]), SocketAddr::new(ip, ports[1]));
+        let text = format!(
+            "nodeName={name}\nlistenAddresses.frontend={callers}\nlistenAddresses.ready={ready}\n\
+             internalPortRange={},{}\nplatform.address={}\nheartbeatIntervalMs=1200\n\
+             contractBounds.connectivityMs={CONNECTIVITY_MS}\n\
+             contractBounds.configApplyMs={APPLY_MS}\ncontractBounds.drainTimeoutMs={DRAIN_MS}\n\
+             contractBounds.gracePeriodS={GRACE_S}\ncontractBounds.retryBudgetRatio=0.2\n\
+             contractBounds.retryWindowS=10\ncontractBounds.retryAllowance=50\n",
+            ports[2],
+            ports[2],
+            store_link.address()
+        );
+        let settings = folder.join(format!("{name}.conf"));
+        fs::write(&settings, text).expect("the folder can be written");
+        let log = folder.join(format!("{name}.log"));
+        let child = start(binary, &settings, &log);
+        Self { binary: binary.to_owned(), settings, log, callers, ready, child, store_link }
+    }
+
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where the balancer asks.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Returns all lines of the log so far, over all starts.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        assert!(status.is_ok_and(|s| s.success()), "the process is ours and was not reaped");
+    }
+
+    /// Says whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the process to end.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process is ours")
+    }
+
+    /// Starts the process again once it has ended.
+    pub fn restart(&mut self) {
+        self.wait();
+        self.child = start(&self.binary, &self.settings, &self.log);
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(binary: &Path, settings: &Path, log: &Path) -> Child {
+    let out = fs::OpenOptions::new().create(true).append(true).open(log);
+    Command::new(binary)
+        .arg("gateway")
+        .env("BAOBABVANE_SETTINGS", settings)
+        .env("RUST_LOG", "info")
+        .stdout(Stdio::from(out.expect("the folder can be written")))
+        .spawn()
+        .expect("the binary was built")
+}
+
+/// A store, endpoints behind proxies, and gateways.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's store.
+    pub store: Store,
+    /// The gateways.
+    pub gateways: Vec<GatewayProcess>,
+    /// The endpoints, each with what it is reached through.
+    pub backends: Vec<(Backend, Proxy)>,
+    version: u64,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts `gateways` processes of a binary before `backends` endpoints of one service.
+    pub fn spawn(binary: &Path, gateways: u8, backends: usize) -> Self {
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let name = format!("baobabvane-{}-{number}", std::process::id());
+        let folder = env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("the folder for temporary files can be written");
+        let store = Store::spawn();
+        let mut fleet =
+            Self { store, gateways: Vec::new(), backends: Vec::new(), version: 0, folder };
+        for index in 0..backends {
+            let backend = Backend::spawn(&backend_id(index));
+            let proxy = Proxy::spawn(backend.address());
+            fleet.backends.push((backend, proxy));
+            fleet.list(index, "ready");
+        }
+        fleet.configure(&["k1"]);
+        for number in 0..gateways {
+            let gateway = GatewayProcess::spawn(binary, &fleet.folder, number, &fleet.store);
+            fleet.gateways.push(gateway);
+        }
+        fleet
+    }
+
+    /// Writes the entry of an endpoint.
+    pub fn list(&self, index: usize, state: &str) {
+        let entry = json!({
+            "service": "desk",
+            "address": self.backends[index].1.address(),
+            "availabilityZone": "tanta",
+            "version": "v1",
+            "slotCount": 16,
+            "lifecycleState": state,
+            "born": 1,
+        });
+        self.store.put("keyed.servers", &backend_id(index), &entry);
+    }
+
+    /// Removes the entry of an endpoint.
+    pub fn unlist(&self, index: usize) {
+        self.store.remove("keyed.servers", &backend_id(index));
+    }
+
+    /// Puts a new version of the configuration in force, with these keys.
+    pub fn configure(&mut self, keys: &[&str]) {
+        self.version += 1;
+        let routes = [
+            route_document("/posting/", "non_idempotent", false),
+            route_document("/read/", "idempotent", false),
+            route_document("/stream/", "streaming", true),
+            route_document("/stream-once/", "streaming", false),
+        ];
+        let config = json!({
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "desk"}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
+                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "growers", "apiKeys": keys}],
+        });
+        self.store.put("keyed.op", "config", &config);
+    }
+
+    /// Returns the folder of settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Removes the folder of settings and logs.
+    pub fn remove_folder(&self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn backend_id(index: usize) -> String {
+    format!("b-{index}")
+}
+
+/// Returns a route in the operators' form.
+pub fn route_document(prefix: &str, kind: &str, is_resumable: bool) -> Value {
+    json!({
+        "name": prefix.trim_matches('/'),
+        "hostname": "desk.example",
+        "pathPrefix": prefix,
+        "routeKind": kind,
+        "timeoutMs": 6000,
+        "targetLatencyMs": 300,
+        "priority": 0,
+        "service": "desk",
+        "maxAttempts": 2,
+        "public": false,
+        "sessionAffinity": false,
+        "streamResumption": is_resumable,
+        "gapTargetMs": 300,
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,15 +4,23 @@
 //! Each runs on a thread of its own and listens on a free port of the loopback
 //! address; dropping its handle ends it. Faults are set from any thread.
 
+mod backend;
 mod client;
 mod engine;
+mod fleet;
 mod log;
 mod process;
+mod proxy;
 mod server;
 mod service;
+mod store;
 
+pub use backend::{Backend, BackendFault, STREAM_EVENTS};
 pub use client::{Caller, Received};
 pub use engine::{Engine, EngineFaults, EngineSpeed};
+pub use fleet::{Fleet, GatewayProcess, route_document};
 pub use log::{LogFaults, LogService};
 pub use process::{Process, free_addresses};
+pub use proxy::{Harm, Proxy};
 pub use service::{Service, ServiceFaults};
+pub use store::{Store, StoreFault};
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,138 @@
+//! A proxy on the loopback address that harms the connections it carries.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// What a proxy does to the bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Harm {
+    /// Passes them on.
+    #[default]
+    None,
+    /// Passes them on after a while.
+    Delay(Duration),
+    /// Closes all connections.
+    Reset,
+    /// Swallows them both ways.
+    Silence,
+    /// Passes requests on and swallows answers.
+    NoAnswers,
+}
+
+/// How often a connection looks what is done to it.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A running proxy; dropping it closes its connections.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    harm: Arc<Mutex<Harm>>,
+    stop: Arc<AtomicBool>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Requests,
+    Answers,
+}
+
+impl Proxy {
+    /// Starts a proxy in front of an address.
+    pub fn spawn(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("port 0 is free");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        listener.set_nonblocking(true).expect("a listener can be non-blocking");
+        let harm = Arc::new(Mutex::new(Harm::None));
+        let stop = Arc::new(AtomicBool::new(false));
+        let proxy = Self { address, harm: Arc::clone(&harm), stop: Arc::clone(&stop) };
+        thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((client, _)) => carry(client, target, &harm, &stop),
+                    Err(_) => thread::sleep(Duration::from_millis(2)),
+                }
+            }
+        });
+        proxy
+    }
+
+    /// Returns where the proxy listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what is done to all connections from now on.
+    pub fn set_harm(&self, harm: Harm) {
+        *self.harm.lock().expect("no holder panics") = harm;
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+fn carry(client: TcpStream, target: SocketAddr, harm: &Arc<Mutex<Harm>>, stop: &Arc<AtomicBool>) {
+    if *harm.lock().expect("no holder panics") == Harm::Reset {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(target) else { return };
+    let pairs = client.try_clone().and_then(|c| server.try_clone().map(|s| (c, s)));
+    let Ok((client_out, server_out)) = pairs else { return };
+    for (from, to, direction) in
+        [(client, server_out, Direction::Requests), (server, client_out, Direction::Answers)]
+    {
+        let (harm, stop) = (Arc::clone(harm), Arc::clone(stop));
+        thread::spawn(move || copy(from, to, direction, &harm, &stop));
+    }
+}
+
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    direction: Direction,
+    harm: &Mutex<Harm>,
+    stop: &AtomicBool,
+) {
+    let _ = from.set_nonblocking(false);
+    let _ = from.set_read_timeout(Some(LOOK));
+    let _ = to.set_nodelay(true);
+    let mut buf = [0; 16 * 1024];
+    while !stop.load(Ordering::Relaxed) {
+        let read = from.read(&mut buf);
+        let harm = *harm.lock().expect("no holder panics");
+        if harm == Harm::Reset {
+            break;
+        }
+        let len = match read {
+            Ok(0) => break,
+            Ok(len) => len,
+            Err(e) if is_timeout(&e) => continue,
+            Err(_) => break,
+        };
+        match harm {
+            Harm::Silence => continue,
+            Harm::NoAnswers if direction == Direction::Answers => continue,
+            Harm::Delay(delay) => thread::sleep(delay),
+            _ => {}
+        }
+        if to.write_all(&buf[..len]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,255 @@
+//! The users' platform's store: keyed topics, read by offset or by newest record.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use baobabvane_wire::{Request, Response, ServerConn};
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http::StatusCode;
+use monoio::time::{Instant, sleep};
+use serde_json::{Value, json};
+
+use crate::server::{Handler, Running, json as json_response, spawn};
+
+/// How often a read that waits looks for news.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Refuses every call.
+    Busy,
+    /// Closes connections without an answer.
+    Reset,
+    /// Never answers.
+    Silent,
+    /// Carries calls out and closes the connection in place of an answer.
+    LosesAnswers,
+    /// Answers after a while.
+    Slow(Duration),
+    /// Does not wake reads that wait.
+    NeverWakes,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<(String, Bytes)>,
+    /// Records before this offset were deleted.
+    start: usize,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    topics: HashMap<String, Topic>,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct Store {
+    running: Running,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Store {
+    /// Starts a store on a free port.
+    pub fn spawn() -> Self {
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let handler = Arc::clone(&shared);
+        let running =
+            spawn(SocketAddr::from(([127, 0, 0, 1], 0)), move || StoreHandler { shared: handler });
+        Self { running, shared }
+    }
+
+    /// Returns where the store listens.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Sets what the store does wrong from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Writes a record, as an operator or an engine does.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let value = Bytes::from(value.to_string());
+        self.append(topic, key, value);
+    }
+
+    /// Drops a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.append(topic, key, Bytes::new());
+    }
+
+    /// Deletes all records but the newest of each key.
+    pub fn forget_history(&self) {
+        for topic in self.lock().topics.values_mut() {
+            topic.start = topic.records.len();
+        }
+    }
+
+    /// Returns how many calls came.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn append(&self, topic: &str, key: &str, value: Bytes) {
+        let mut shared = self.lock();
+        let topic = shared.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value));
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
+        self.shared.lock().expect("no holder panics")
+    }
+}
+
+impl Topic {
+    fn newest(&self) -> Value {
+        let mut newest: BTreeMap<&str, (&Bytes, usize)> = BTreeMap::new();
+        for (offset, (key, value)) in self.records.iter().enumerate() {
+            newest.insert(key, (value, offset));
+        }
+        let kept = newest.into_iter().filter(|(_, (value, _))| !value.is_empty());
+        let entries: Vec<Value> = kept
+            .map(|(key, (value, offset))| {
+                json!({"key": key, "value": BASE64_STANDARD.encode(value), "logOffset": offset})
+            })
+            .collect();
+        json!({"entries": entries, "hasMore": false, "endOffset": self.records.len()})
+    }
+
+    fn read(&self, from: usize) -> Vec<u8> {
+        let mut body = (self.records.len() as u64).to_be_bytes().to_vec();
+        body.extend_from_slice(&(self.start as u64).to_be_bytes());
+        for (key, value) in self.records.iter().skip(from) {
+            let len = 1 + key.len() + value.len();
+            body.extend_from_slice(&(len as u32).to_be_bytes());
+            body.push(key.len() as u8);
+            body.extend_from_slice(key.as_bytes());
+            body.extend_from_slice(value);
+        }
+        body
+    }
+
+    /// Appends records, all or none; `None` when a record cannot be read.
+    fn append(&mut self, mut body: &[u8]) -> Option<()> {
+        let mut records = Vec::new();
+        while !body.is_empty() {
+            let (len, rest) = body.split_first_chunk::<4>()?;
+            let (record, rest) = rest.split_at_checked(u32::from_be_bytes(*len) as usize)?;
+            let (key_len, content) = record.split_first()?;
+            let (key, value) = content.split_at_checked(usize::from(*key_len))?;
+            let key = String::from_utf8_lossy(key).into_owned();
+            records.push((key, Bytes::copy_from_slice(value)));
+            body = rest;
+        }
+        self.records.extend(records);
+        Some(())
+    }
+}
+
+struct StoreHandler {
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl StoreHandler {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
+        self.shared.lock().expect("no holder panics")
+    }
+
+    async fn answer(&self, req: &Request) -> Response {
+        let query: HashMap<&str, &str> = req
+            .uri()
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let topic = query.get("topicName").copied().unwrap_or_default();
+        let number = |name: &str| query.get(name).and_then(|v| v.parse::<usize>().ok());
+        match req.uri().path() {
+            "/log-newest" => {
+                let mut shared = self.lock();
+                let newest = shared.topics.entry(topic.to_owned()).or_default().newest();
+                json_response(200, newest.to_string())
+            }
+            "/log-append" => {
+                let mut shared = self.lock();
+                let topic = shared.topics.entry(topic.to_owned()).or_default();
+                if number("at").is_some_and(|at| at != topic.records.len()) {
+                    let end = json!({"endOffset": topic.records.len()});
+                    return json_response(412, end.to_string());
+                }
+                match topic.append(req.body()) {
+                    Some(()) => json_response(200, "{}".to_owned()),
+                    None => json_response(400, "{}".to_owned()),
+                }
+            }
+            "/log-read" => {
+                let wait = number("waitTimeoutMs").unwrap_or_default() as u64;
+                self.read(topic, number("from").unwrap_or_default(), wait).await
+            }
+            _ => json_response(404, "{}".to_owned()),
+        }
+    }
+
+    async fn read(&self, topic: &str, from: usize, wait_ms: u64) -> Response {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            {
+                let mut shared = self.lock();
+                let never_wakes = shared.fault == StoreFault::NeverWakes;
+                let topic = shared.topics.entry(topic.to_owned()).or_default();
+                if from < topic.start {
+                    let start = json!({"startOffset": topic.start});
+                    return json_response(410, start.to_string());
+                }
+                let is_over = Instant::now() >= until;
+                if is_over || (topic.records.len() > from && !never_wakes) {
+                    return Response::new(topic.read(from).into());
+                }
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
+
+impl Handler for StoreHandler {
+    async fn handle(&self, conn: &mut ServerConn, req: Request) -> bool {
+        let fault = {
+            let mut shared = self.lock();
+            shared.calls += 1;
+            shared.fault
+        };
+        match fault {
+            StoreFault::Reset => return false,
+            StoreFault::Silent => {
+                conn.closed().await;
+                return false;
+            }
+            StoreFault::Busy => {
+                let mut res = Response::new(Bytes::new());
+                *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                return conn.write_response(res).await.is_ok();
+            }
+            StoreFault::Slow(delay) => sleep(delay).await,
+            StoreFault::None | StoreFault::LosesAnswers | StoreFault::NeverWakes => {}
+        }
+        let res = self.answer(&req).await;
+        if fault == StoreFault::LosesAnswers {
+            return false;
+        }
+        conn.write_response(res).await.is_ok()
+    }
+}
