gateway: an instance that begins counts the peers that it has not heard

Ruled out: late news of others; simulated with 68 instances and 1.5 to 6 times the limit, they stay within it. Change: registered instances count as known before they are heard, and before an instance has joined the fleet it takes itself for one of 64.

--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -326,6 +326,11 @@
         self.peers.send(ToPeers::Known(peers));
     }
 
+    /// These are all instances that ever registered.
+    pub fn peers_registered(&self, peers: Vec<SocketAddr>) {
+        self.peers.send(ToPeers::Registered(peers));
+    }
+
     /// The secret that all instances of the fleet share.
     pub fn fleet_secret(&self, secret: &str) {
         self.peers.send(ToPeers::Key(SharedKey::new(secret)));
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -36,6 +36,12 @@
 /// An instance that is behind waits this long for the store to tell it the same.
 const BEHIND: Duration = Duration::from_millis(50);
 
+/// Instances that there may be, as long as this one has not learned of the others; the
+/// largest fleets are a few times larger, and admit too much only for that moment.
+pub(crate) const UNJOINED: u32 = 64;
+/// The part of the fleet that this instance is until then.
+pub(crate) const UNJOINED_SHARE: f64 = 1.0 / UNJOINED as f64;
+
 /// Names an instance: where it listens for others.
 pub(crate) type PeerId = SocketAddr;
 
@@ -63,6 +69,8 @@
 pub(crate) enum ToPeers {
     /// Other instances may be there.
     Known(Vec<PeerId>),
+    /// These are all other instances that ever registered.
+    Registered(Vec<PeerId>),
     /// The key that authenticates the fleet's messages.
     Key(SharedKey),
     /// This instance is stopping.
@@ -111,7 +119,7 @@
         start: Instant::now(),
         behind_since: None,
         is_fetching: false,
-        heard: (1, 1),
+        heard: (1, UNJOINED),
     };
     monoio::spawn(receive(socket, mailbox.clone()));
     monoio::spawn(sync::serve(listener, Rc::clone(&knowledge), scheduler));
@@ -161,6 +169,7 @@
     fn take(&mut self, message: ToPeers) {
         match message {
             ToPeers::Known(peers) => self.roster.learn(&peers, self.now_ms()),
+            ToPeers::Registered(peers) => self.roster.join(&peers, self.now_ms()),
             ToPeers::Key(key) => {
                 self.knowledge.set_key(key.clone());
                 self.key = Some(key);
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -6,7 +6,7 @@
 use super::order::{Usage, id_hash};
 use crate::{
     configuration::Organisation,
-    peer::{PeerId, PeerState},
+    peer::{PeerId, PeerState, UNJOINED, UNJOINED_SHARE},
     quota::Bucket,
 };
 
@@ -37,8 +37,8 @@
         Self {
             buckets: FxHashMap::default(),
             peers: FxHashMap::default(),
-            share: 1.0,
-            known: 1,
+            share: UNJOINED_SHARE,
+            known: UNJOINED,
             are_loads_changed: false,
         }
     }
