decide: no room at an endpoint that others have filled

Ruled out: learned limits (off), lost heartbeats. Change: room that others say they use themselves is not kept; what a report leaves still is.

--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -148,8 +148,9 @@
         let limit = if self.adaptive { self.limit.get() } else { self.slots };
         let age = now - self.foreign_at;
         let foreign = self.foreign * (-age / REPORT_HALF_LIFE_MS).exp2();
-        let others = (foreign.round() as u32).max(self.elsewhere.requests);
-        limit.saturating_sub(others).max(1)
+        // What a report leaves is a guess; what others say of themselves is not.
+        let by_report = limit.saturating_sub(foreign.round() as u32).max(1);
+        by_report.min(limit.saturating_sub(self.elsewhere.requests))
     }
 
     /// Takes over what other schedulers have at the endpoint now.
