gateway, decide: endpoints of the own zone first, heartbeats to the own zone each time

Change: an endpoint in another zone has to be a fifth emptier; heartbeats go to up to 24 peers of the zone every 100 ms and to 8 others in turn.

--- a/crates/decide/benches/decision_cost.rs
+++ b/crates/decide/benches/decision_cost.rs
@@ -32,7 +32,7 @@
         let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
         let mut core = Core::new(Policy::default());
         for _ in 0..endpoints {
-            let spec = EndpointSpec { slots: SLOTS, cache_blocks: 1_000 };
+            let spec = EndpointSpec { slots: SLOTS, cache_blocks: 1_000, is_far: false };
             core.handle(0.0, Event::EndpointJoined(arena.insert(()), spec));
         }
         let mut pool =
--- a/crates/decide/examples/decisions/sim.rs
+++ b/crates/decide/examples/decisions/sim.rs
@@ -163,8 +163,11 @@
             sim.keys.push(key);
             sim.by_key.insert(key, n);
             sim.engines.push(Engine::new(*spec, BLOCK_TOKENS));
-            let spec =
-                EndpointSpec { slots: spec.batch as u32, cache_blocks: spec.cache_blocks as u32 };
+            let spec = EndpointSpec {
+                slots: spec.batch as u32,
+                cache_blocks: spec.cache_blocks as u32,
+                is_far: false,
+            };
             sim.cores[*pool].handle(0.0, Event::EndpointJoined(key, spec));
             sim.at(REPORT_EVERY_MS, What::ReportTime(n));
         }
--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -30,6 +30,9 @@
 const LONG_PAUSE: f64 = 1e4;
 /// What a fast endpoint is spared for requests that need it, against its being full.
 const SPARE_FAST: f64 = 0.4;
+/// What an endpoint in another availability zone has to be emptier: its bytes cross
+/// zones, and what others have there is known later.
+const FAR: f64 = 0.2;
 /// A request waits for another one's reading only with this much time to spare.
 const WAITING_MARGIN: f64 = 3.0;
 
@@ -159,7 +162,8 @@
             score += LONG_PAUSE + reading_ms;
         }
         let relative_speed = self.pool_prefill_ms / endpoint.prefill_ms().max(f64::MIN_POSITIVE);
-        score + endpoint.fullness() + SPARE_FAST * relative_speed
+        let far = if endpoint.is_far() { FAR } else { 0.0 };
+        score + endpoint.fullness() + SPARE_FAST * relative_speed + far
     }
 
     /// Says whether a repeat has to go elsewhere, where there is an elsewhere.
--- a/crates/decide/src/core/endpoints.rs
+++ b/crates/decide/src/core/endpoints.rs
@@ -119,7 +119,7 @@
     fn a_pool_that_fails_again_and_again_refuses_at_once() {
         let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
         let mut core = Core::new(Policy::default());
-        let spec = EndpointSpec { slots: 4, cache_blocks: 0 };
+        let spec = EndpointSpec { slots: 4, cache_blocks: 0, is_far: false };
         core.handle(0.0, Event::EndpointJoined(arena.insert(()), spec));
         for ticket in 0..3 {
             assert!(matches!(offer(&mut core, 0.0, ticket), Some(Action::Dispatch(..))));
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -60,6 +60,7 @@
     limit: Limit,
     adaptive: bool,
     slots: u32,
+    is_far: bool,
     in_flight: u32,
     unread_tokens: u32,
     long_prefills: u32,
@@ -108,6 +109,7 @@
             limit: Limit::new(spec.slots),
             adaptive,
             slots: spec.slots,
+            is_far: spec.is_far,
             in_flight: 0,
             unread_tokens: 0,
             long_prefills: 0,
@@ -128,6 +130,7 @@
     pub(crate) fn update(&mut self, spec: &EndpointSpec) {
         self.leaving = false;
         self.slots = spec.slots;
+        self.is_far = spec.is_far;
         self.limit.set_max(spec.slots);
     }
 
@@ -189,6 +192,11 @@
         (ahead + f64::from(unread_tokens)) * self.prefill_ms.get()
     }
 
+    /// Says whether the endpoint is in another availability zone.
+    pub(crate) fn is_far(&self) -> bool {
+        self.is_far
+    }
+
     /// Returns the part of the slots that is taken, by all schedulers.
     pub(crate) fn fullness(&self) -> f64 {
         f64::from(self.in_flight + self.elsewhere.requests) / f64::from(self.slots.max(1))
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -78,6 +78,8 @@
     pub slots: u32,
     /// How many blocks its prefix cache holds; 0 when it has none.
     pub cache_blocks: u32,
+    /// Whether it is in another availability zone.
+    pub is_far: bool,
 }
 
 /// An endpoint's word on its load; it lags.
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -102,7 +102,7 @@
             }
             Step::Join(n) => {
                 self.usable.insert(self.keys[n]);
-                let spec = EndpointSpec { slots: SLOTS, cache_blocks: 8 };
+                let spec = EndpointSpec { slots: SLOTS, cache_blocks: 8, is_far: false };
                 self.tell(Event::EndpointJoined(self.keys[n], spec));
             }
             Step::Gone(n) => {
--- a/crates/entry/examples/footprint.rs
+++ b/crates/entry/examples/footprint.rs
@@ -64,7 +64,7 @@
 fn full_core() -> Core {
     let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
     let mut core = Core::new(Policy { shedding: false, ..Policy::default() });
-    let spec = EndpointSpec { slots: 1, cache_blocks: 1_000 };
+    let spec = EndpointSpec { slots: 1, cache_blocks: 1_000, is_far: false };
     core.handle(0.0, Event::EndpointJoined(arena.insert(()), spec));
     core.handle(0.0, Event::Offer(Ticket(0), descriptor(0)));
     core
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -44,6 +44,8 @@
 pub struct GatewaySettings {
     /// The instance's name, for logs.
     pub name: String,
+    /// Its availability zone; endpoints in it are preferred.
+    pub zone: String,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the balancer asks whether the instance is ready.
@@ -159,12 +161,13 @@
         let Self { settings, state } = self;
         // Endpoints state their slots, and instances tell each other what is in flight.
         let policy = Policy { adaptive_limit: false, ..Policy::default() };
-        let scheduler = scheduler::spawn(policy);
+        let scheduler = scheduler::spawn(policy, &settings.zone);
         let lapse = Duration::from_millis(settings.lapse_ms);
         let news_bound = Duration::from_millis(settings.news_bound_ms);
         let knowledge = Rc::new(Knowledge::new(scheduler.clone(), lapse));
         let peers: Mailbox<ToPeers> = peer::spawn(
             settings.peer_listen,
+            &settings.zone,
             news_bound,
             Rc::clone(&knowledge),
             scheduler.clone(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -24,7 +24,11 @@
     beat::{Beat, News},
     roster::{Received, Roster},
 };
-use crate::{knowledge::Knowledge, message::Mailbox, scheduler::ToScheduler};
+use crate::{
+    knowledge::Knowledge,
+    message::Mailbox,
+    scheduler::{ToScheduler, id_hash},
+};
 
 /// How often heartbeats are sent; load that is known this late still helps a choice.
 const BEAT: Duration = Duration::from_millis(100);
@@ -101,6 +105,7 @@
 /// When the address cannot be bound.
 pub(crate) fn spawn(
     address: SocketAddr,
+    zone: &str,
     news_bound: Duration,
     knowledge: Rc<Knowledge>,
     scheduler: Mailbox<ToScheduler>,
@@ -115,7 +120,7 @@
         scheduler: scheduler.clone(),
         knowledge: Rc::clone(&knowledge),
         key: None,
-        roster: Roster::new(address, rand::random(), reaches.as_millis() as u64),
+        roster: Roster::new(address, id_hash(zone), rand::random(), reaches.as_millis() as u64),
         start: Instant::now(),
         behind_since: None,
         is_fetching: false,
--- a/crates/gateway/src/peer/beat.rs
+++ b/crates/gateway/src/peer/beat.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct Beat {
     pub(super) from: PeerId,
+    /// A hash of the sender's availability zone.
+    pub(super) zone: u32,
     pub(super) incarnation: u64,
     /// Grows with each heartbeat of an incarnation.
     pub(super) counter: u64,
@@ -89,6 +91,7 @@
     fn a_beat_needs_the_key() {
         let beat = Beat {
             from: ([127, 0, 0, 1], 7600).into(),
+            zone: 5,
             incarnation: 7,
             counter: 1,
             is_leaving: false,
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -8,8 +8,10 @@
 };
 use crate::knowledge::Versions;
 
-/// A heartbeat goes to this many peers; in larger fleets they take turns.
-const FAN_OUT: usize = 12;
+/// A heartbeat goes to so many peers of the own availability zone, which share its
+/// endpoints, and to so many others; in larger fleets they take turns.
+const NEAR_FAN_OUT: usize = 24;
+const FAR_FAN_OUT: usize = 8;
 /// A peer from which nothing came for this many of its turns is not heard.
 const MISSED_BEATS: u64 = 8;
 /// The time between two heartbeats, in milliseconds.
@@ -33,6 +35,8 @@
 struct Peer {
     /// The largest incarnation and counter; `None` until it is heard.
     last: Option<(u64, u64)>,
+    /// Whether it is in our availability zone.
+    is_near: bool,
     /// When it was heard, or first named, in milliseconds.
     at_ms: u64,
     versions: Versions,
@@ -44,6 +48,7 @@
 #[derive(Debug)]
 pub(super) struct Roster {
     own: PeerId,
+    zone: u32,
     incarnation: u64,
     counter: u64,
     is_leaving: bool,
@@ -56,9 +61,10 @@
 }
 
 impl Roster {
-    pub(super) fn new(own: PeerId, incarnation: u64, reaches_ms: u64) -> Self {
+    pub(super) fn new(own: PeerId, zone: u32, incarnation: u64, reaches_ms: u64) -> Self {
         Self {
             own,
+            zone,
             incarnation,
             counter: 0,
             is_leaving: false,
@@ -74,6 +80,7 @@
         for peer in peers.iter().filter(|p| **p != self.own) {
             let unheard = Peer {
                 last: None,
+                is_near: false,
                 at_ms: now_ms,
                 versions: Versions::default(),
                 reached_at_ms: None,
@@ -105,6 +112,7 @@
         }
         peer.last = Some((beat.incarnation, beat.counter));
         peer.at_ms = now_ms;
+        peer.is_near = beat.zone == self.zone;
         peer.versions = beat.news.versions;
         peer.reached_at_ms = beat.news.reached_age_ms.map(|age| now_ms.saturating_sub(age));
         if beat.is_leaving {
@@ -126,6 +134,7 @@
         let skipped = self.counter as usize % self.peers.len().max(1);
         let beat = Beat {
             from: self.own,
+            zone: self.zone,
             incarnation: self.incarnation,
             counter: self.counter,
             is_leaving: self.is_leaving,
@@ -137,10 +146,20 @@
     }
 
     fn next_receivers(&mut self) -> Vec<PeerId> {
-        let all: Vec<PeerId> = self.peers.keys().copied().collect();
-        let count = all.len().min(FAN_OUT);
-        let to = (0..count).map(|i| all[(self.turn + i) % all.len()]).collect();
-        self.turn = (self.turn + count) % all.len().max(1);
+        let turn = self.turn;
+        self.turn = turn.wrapping_add(1);
+        let some_of = |is_near: bool, most: usize| {
+            let all: Vec<PeerId> = self
+                .peers
+                .iter()
+                .filter(|(_, p)| p.is_near == is_near)
+                .map(|(id, _)| *id)
+                .collect();
+            let count = all.len().min(most);
+            (0..count).map(|i| all[(turn * count + i) % all.len()]).collect::<Vec<PeerId>>()
+        };
+        let mut to = some_of(true, NEAR_FAN_OUT);
+        to.extend(some_of(false, FAR_FAN_OUT));
         to
     }
 
@@ -173,7 +192,7 @@
     }
 
     fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
-        let turns = self.peers.len().div_ceil(FAN_OUT).max(1) as u64;
+        let turns = self.peers.len().div_ceil(FAR_FAN_OUT).max(1) as u64;
         peer.last.is_some() && now_ms.saturating_sub(peer.at_ms) < MISSED_BEATS * BEAT_MS * turns
     }
 }
@@ -187,7 +206,7 @@
     }
 
     fn roster(port: u16) -> Roster {
-        Roster::new(id(port), u64::from(port), 1_500)
+        Roster::new(id(port), u32::from(port % 2), u64::from(port), 1_500)
     }
 
     fn beat(from: &mut Roster, configuration: u64) -> Beat {
@@ -218,7 +237,7 @@
         assert_eq!(b.receive(&second, 0), Received::New);
         assert_eq!(b.receive(&first, 0), Received::Old);
         assert_eq!(b.receive(&second, 0), Received::Old);
-        let mut restarted = Roster::new(id(1), 99, 1_500);
+        let mut restarted = Roster::new(id(1), 1, 99, 1_500);
         assert_eq!(b.receive(&beat(&mut restarted, 0), 0), Received::New);
     }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -96,10 +96,12 @@
     pools: FxHashMap<Rc<str>, PoolState>,
     asked: FxHashMap<Ticket, Asked>,
     fleet: Fleet,
+    /// The availability zone that this instance is in.
+    zone: String,
 }
 
-/// Starts the task.
-pub(crate) fn spawn(policy: Policy) -> Mailbox<ToScheduler> {
+/// Starts the task, for an instance in an availability zone.
+pub(crate) fn spawn(policy: Policy, zone: &str) -> Mailbox<ToScheduler> {
     let (mailbox, rx) = Mailbox::new();
     let scheduler = Scheduler {
         start: Instant::now(),
@@ -110,6 +112,7 @@
         pools: FxHashMap::default(),
         asked: FxHashMap::default(),
         fleet: Fleet::default(),
+        zone: zone.to_owned(),
     };
     monoio::spawn(scheduler.run(rx));
     mailbox
@@ -341,7 +344,11 @@
         let engine = self.engine(&sighting.pool);
         let cache_blocks =
             engine.map_or(NO_CACHE, |e| (e.cache_tokens / u64::from(BLOCK_TOKENS)) as u32);
-        EndpointSpec { slots: sighting.slots.max(1), cache_blocks }
+        EndpointSpec {
+            slots: sighting.slots.max(1),
+            cache_blocks,
+            is_far: sighting.zone != self.zone,
+        }
     }
 
     fn engine(&self, pool: &str) -> Option<Engine> {
--- a/crates/gateway/tests/testsuite/stage.rs
+++ b/crates/gateway/tests/testsuite/stage.rs
@@ -95,6 +95,7 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let gateway = Gateway::bind(GatewaySettings {
             name: "test".to_owned(),
+            zone: "tanta".to_owned(),
             listen: any,
             ready_listen: any,
             metrics_listen: None,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -41,7 +41,7 @@
         let store_link = Proxy::spawn(store.address());
         let (callers, ready) = (SocketAddr::new(ip, ports[0]), SocketAddr::new(ip, ports[1]));
         let text = format!(
-            "nodeName={name}\nlistenAddresses.frontend={callers}\nlistenAddresses.ready={ready}\n\
+            "nodeName={name}\navailabilityZone=tanta\nlistenAddresses.frontend={callers}\nlistenAddresses.ready={ready}\n\
              internalPortRange={},{}\nplatform.address={}\nheartbeatIntervalMs=1200\n\
              contractBounds.connectivityMs={CONNECTIVITY_MS}\n\
              contractBounds.configApplyMs={APPLY_MS}\ncontractBounds.drainTimeoutMs={DRAIN_MS}\n\
