--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -30,7 +30,10 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Tokens in one block of a prefix; shared parts of prompts are rounded to it.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
-/// Requests beyond its slots that a plain service is sent by one instance at most.
+/// An engine is given one more request for so many slots, which waits in its own queue, so
+/// that a slot is not empty until the news of it has gone round.
+const ENGINE_QUEUE_PART: u32 = 5;
+/// A plain service has no prefix cache.
 const NO_CACHE: u32 = 0;
 
 /// What the task is told.
@@ -344,11 +347,9 @@
         let engine = self.engine(&sighting.pool);
         let cache_blocks =
             engine.map_or(NO_CACHE, |e| (e.cache_tokens / u64::from(BLOCK_TOKENS)) as u32);
-        EndpointSpec {
-            slots: sighting.slots.max(1),
-            cache_blocks,
-            is_far: sighting.zone != self.zone,
-        }
+        let slots = sighting.slots.max(1);
+        let queue = if engine.is_some() { slots.div_ceil(ENGINE_QUEUE_PART) } else { 0 };
+        EndpointSpec { slots: slots + queue, cache_blocks, is_far: sighting.zone != self.zone }
     }
 
     fn engine(&self, pool: &str) -> Option<Engine> {
