--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -30,9 +30,6 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Tokens in one block of a prefix; shared parts of prompts are rounded to it.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
-/// An engine is given one more request for so many slots, which waits in its own queue, so
-/// that a slot is not empty until the news of it has gone round.
-const ENGINE_QUEUE_PART: u32 = 5;
 /// A plain service has no prefix cache.
 const NO_CACHE: u32 = 0;
 
