--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -344,9 +344,8 @@
         let engine = self.engine(&sighting.pool);
         let cache_blocks =
             engine.map_or(NO_CACHE, |e| (e.cache_tokens / u64::from(BLOCK_TOKENS)) as u32);
-        let slots = sighting.slots.max(1);
-        let queue = if engine.is_some() { slots.div_ceil(ENGINE_QUEUE_PART) } else { 0 };
-        EndpointSpec { slots: slots + queue, cache_blocks, is_far: sighting.zone != self.zone }
+        let is_far = sighting.zone != self.zone;
+        EndpointSpec { slots: sighting.slots.max(1), cache_blocks, is_far }
     }
 
     fn engine(&self, pool: &str) -> Option<Engine> {
