--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -3,13 +3,14 @@
 use std::rc::Rc;
 
 use baobabvane_domain::{PROBLEM_MEDIA_TYPE, Problem, Verdict};
+use baobabvane_tasks::Counted;
 use baobabvane_wire::{Request as HttpRequest, Response, ServerConn, WireError};
 use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header};
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::{
-    caller::{Context, chat, context::Counted, keyed, plain},
+    caller::{Context, chat, keyed, plain},
     request::{Received, Request, RequestId},
 };
 
--- a/crates/entry/src/caller/context.rs
+++ b/crates/entry/src/caller/context.rs
@@ -3,10 +3,10 @@
 use std::{cell::Cell, rc::Rc};
 
 use baobabvane_decide::Ticket;
+use baobabvane_tasks::Mailbox;
 
 use crate::{
     journal::Journal,
-    message::Mailbox,
     settings::Settings,
     tasks::{claimant::ToClaimant, scheduler::ToScheduler},
     view::Published,
@@ -41,21 +41,3 @@
         self.has_configuration.get() && !self.draining.get()
     }
 }
-
-/// Counts something for as long as it lives.
-pub(crate) struct Counted<'a> {
-    cell: &'a Cell<usize>,
-}
-
-impl<'a> Counted<'a> {
-    pub(crate) fn new(cell: &'a Cell<usize>) -> Self {
-        cell.set(cell.get() + 1);
-        Self { cell }
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.cell.set(self.cell.get() - 1);
-    }
-}
--- a/crates/entry/src/caller/keyed.rs
+++ b/crates/entry/src/caller/keyed.rs
@@ -6,6 +6,7 @@
 
 use baobabvane_claims::{Claimed, KeyState, Owner};
 use baobabvane_domain::{Answer, Incarnation, LogDown, Problem, RequestKey, Uuid, Verdict};
+use baobabvane_tasks::Counted;
 use baobabvane_wire::{Request as HttpRequest, Response};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -16,7 +17,6 @@
     caller::{
         Context, admission,
         connection::{Reply, add_verdict},
-        context::Counted,
         run::{self, Job, Trace},
     },
     request::{Admitted, Request},
--- a/crates/entry/src/caller/run.rs
+++ b/crates/entry/src/caller/run.rs
@@ -234,25 +234,9 @@
     if status.is_server_error() { Verdict::MayHaveRun } else { Verdict::Ran }
 }
 
-/// Headers of a message that concern one connection only.
-const HOP_BY_HOP: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Returns the headers of an answer that the caller may see.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named = headers.get(http::header::CONNECTION).and_then(|c| c.to_str().ok()).unwrap_or("");
-    let listed = |name: &str| named.split(',').any(|n| n.trim().eq_ignore_ascii_case(name));
+    let mut headers = headers.clone();
+    baobabvane_wire::remove_hop_by_hop(&mut headers);
     headers
-        .iter()
-        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()) && !listed(name.as_str()))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
 }
--- a/crates/entry/src/cmd/gateway.rs
+++ b/crates/entry/src/cmd/gateway.rs
@@ -7,8 +7,8 @@
     sync::{Arc, atomic::AtomicBool},
 };
 
-use baobabvane_gateway::StopHandle;
 use baobabvane_platform::Options;
+use baobabvane_tasks::StopHandle;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,29 +1,19 @@
 //! Joins the parts of an entry instance and takes it through its life.
 
-use std::{
-    cell::Cell,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_domain::{Incarnation, Uuid};
 use baobabvane_log::{HttpLog, LogClient, MemoryLog};
 use baobabvane_members::SharedKey;
+use baobabvane_tasks::{Mailbox, StopHandle, listen};
 use monoio::{
-    net::{ListenerOpts, TcpListener},
+    net::TcpListener,
     time::{Instant, sleep},
 };
 
 use crate::{
     caller,
     journal::Journal,
-    message::Mailbox,
     operator::{self, OperatorContext},
     peer,
     settings::Settings,
@@ -63,40 +53,13 @@
     members: Option<Mailbox<ToMembers>>,
 }
 
-/// Asks a daemon to stop, from any thread or signal handler.
-#[derive(Clone, Debug, Default)]
-pub struct StopHandle {
-    flag: Arc<AtomicBool>,
-}
-
-impl StopHandle {
-    /// Asks for a graceful stop.
-    pub fn stop(&self) {
-        self.flag.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns the flag that a signal handler may set.
-    pub fn flag(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.flag)
-    }
-
-    fn is_set(&self) -> bool {
-        self.flag.load(Ordering::Relaxed)
-    }
-}
-
 impl Daemon<Starting> {
     /// Binds the sockets, so that an address in use is an error before anything starts.
     pub fn bind(settings: Settings) -> io::Result<Self> {
-        let opts = ListenerOpts::new().backlog(4096).reuse_port(false);
-        let bind = |address: SocketAddr| {
-            TcpListener::bind_with_config(address, &opts)
-                .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
-        };
         let state = Starting {
-            callers: bind(settings.listen)?,
-            operators: bind(settings.operator_listen)?,
-            peers: settings.peer_listen.map(bind).transpose()?,
+            callers: listen(settings.listen)?,
+            operators: listen(settings.operator_listen)?,
+            peers: settings.peer_listen.map(listen).transpose()?,
         };
         Ok(Self { settings: Rc::new(settings), stop: StopHandle::default(), state })
     }
--- a/crates/entry/src/embedded.rs
+++ b/crates/entry/src/embedded.rs
@@ -7,10 +7,9 @@
     thread::{self, JoinHandle},
 };
 
-use crate::{
-    daemon::{Daemon, StopHandle},
-    settings::Settings,
-};
+use baobabvane_tasks::StopHandle;
+
+use crate::{daemon::Daemon, settings::Settings};
 
 /// A running instance; dropping it stops it gracefully.
 #[derive(Debug)]
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,7 +18,6 @@
 mod embedded;
 mod journal;
 mod link;
-mod message;
 mod operator;
 mod peer;
 mod prompt;
@@ -28,7 +27,8 @@
 mod telemetry;
 mod view;
 
-pub use daemon::{Daemon, Serving, Starting, StopHandle};
+pub use baobabvane_tasks::StopHandle;
+pub use daemon::{Daemon, Serving, Starting};
 pub use embedded::Embedded;
 pub use settings::{Operator, Peer, Settings, SettingsError};
 pub use telemetry::{LogGuard, install_logger, install_metrics};
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -7,13 +7,12 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use baobabvane_domain::Verdict;
+use baobabvane_tasks::Mailbox;
 use baobabvane_wire::{ClientConn, Connector, WireError};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, Uri};
 use local_sync::{mpsc::bounded, oneshot};
 
-use crate::message::Mailbox;
-
 /// Idle connections that are kept for one endpoint.
 const MAX_IDLE: usize = 1024;
 /// Pieces of an answer that wait for a slow caller before the endpoint is stopped.
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -6,11 +6,11 @@
 
 use std::{cell::Cell, rc::Rc};
 
+use baobabvane_tasks::Mailbox;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::{
     caller,
-    message::Mailbox,
     tasks::{configurator::ToConfigurator, members::ToMembers},
 };
 
--- a/crates/entry/src/peer/outgoing.rs
+++ b/crates/entry/src/peer/outgoing.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use baobabvane_members::SharedKey;
+use baobabvane_tasks::Mailbox;
 use local_sync::mpsc::unbounded;
 use monoio::{
     net::TcpStream,
@@ -10,7 +11,6 @@
 };
 
 use crate::{
-    message::Mailbox,
     peer::{
         frames::{FrameError, FrameReader, FrameWriter, Side, handshake},
         message::{PeerAsk, PeerReply},
--- a/crates/entry/src/tasks/claimant.rs
+++ b/crates/entry/src/tasks/claimant.rs
@@ -9,13 +9,13 @@
 };
 use baobabvane_domain::{Answer, Entry, Incarnation, LogDown, RequestKey, Uuid, Verdict};
 use baobabvane_log::{AppendError, Batch, LogClient, Stream};
+use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::{Instant, sleep, timeout};
 use serde::Serialize;
 
 use crate::{
     clock::unix_ms,
-    message::Mailbox,
     settings::Settings,
     tasks::record::{decode, encode, follow},
 };
--- a/crates/entry/src/tasks/configurator.rs
+++ b/crates/entry/src/tasks/configurator.rs
@@ -5,12 +5,12 @@
 use baobabvane_domain::{Change, ChangeError, Entry, InForce, Snapshot, Uuid};
 use baobabvane_log::{AppendError, Batch, LogClient, Stream};
 use baobabvane_replica::{AuditEntry, Replica};
+use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::{Instant, sleep};
 
 use crate::{
     clock::unix_ms,
-    message::Mailbox,
     settings::Settings,
     tasks::{
         record::{decode, encode, follow},
--- a/crates/entry/src/tasks/members.rs
+++ b/crates/entry/src/tasks/members.rs
@@ -3,10 +3,11 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_members::{Counts, Membership, Peer, Roster, SharedKey};
+use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::{net::udp::UdpSocket, time::Instant};
 
-use crate::{clock::unix_ms, message::Mailbox, settings::Settings, tasks::scheduler::ToScheduler};
+use crate::{clock::unix_ms, settings::Settings, tasks::scheduler::ToScheduler};
 
 /// The largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2048;
--- a/crates/entry/src/tasks/scheduler.rs
+++ b/crates/entry/src/tasks/scheduler.rs
@@ -18,6 +18,7 @@
     Action, Choice, Core, Counts, Ending, Event, FailedAt, Policy, Refusal, Ticket, TierPolicy, Why,
 };
 use baobabvane_members::{Roster, SharedKey};
+use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::timeout;
 use serde::Serialize;
@@ -30,7 +31,6 @@
 };
 use crate::{
     clock::CoreClock,
-    message::Mailbox,
     peer::{ConnId, PeerAsk, PeerOffer, PeerReply},
     view::View,
 };
--- a/crates/entry/src/tasks/scheduler/grant.rs
+++ b/crates/entry/src/tasks/scheduler/grant.rs
@@ -3,9 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use baobabvane_decide::{Descriptor, Ending, Refusal, Ticket, Why};
+use baobabvane_tasks::Mailbox;
 use local_sync::oneshot;
 
-use crate::{link::Link, message::Mailbox, tasks::scheduler::ToScheduler};
+use crate::{link::Link, tasks::scheduler::ToScheduler};
 
 /// A request that asks for an endpoint.
 pub(crate) struct Offer {
--- a/crates/entry/src/tasks/scheduler/peers.rs
+++ b/crates/entry/src/tasks/scheduler/peers.rs
@@ -3,9 +3,9 @@
 use std::{collections::HashMap, rc::Rc};
 
 use baobabvane_members::{Roster, SharedKey};
+use baobabvane_tasks::Mailbox;
 
 use crate::{
-    message::Mailbox,
     peer::{self, ConnId, PeerAsk, PeerReply},
     tasks::scheduler::{
         ToScheduler,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -2,17 +2,23 @@
 
 mod admission;
 mod exchange;
+mod failure;
 mod flight;
 mod relay;
 mod reply;
+mod report;
 
 use std::{rc::Rc, time::Duration};
 
+use baobabvane_tasks::Counted;
 use baobabvane_wire::{Limits, Request, ServerConn, WireError};
 use monoio::net::{TcpListener, TcpStream};
 
-use self::exchange::{Answer, Exchange, Failure};
-use crate::context::{Context, Counted};
+use self::{
+    exchange::{Answer, Exchange},
+    failure::Failure,
+};
+use crate::context::Context;
 
 /// Accepting is tried again after this pause when it fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/caller/admission.rs
+++ b/crates/gateway/src/caller/admission.rs
@@ -155,7 +155,7 @@
     mut headers: HeaderMap,
     organisation: Option<&Organisation>,
 ) -> HeaderMap {
-    headers::remove_hop_by_hop(&mut headers);
+    baobabvane_wire::remove_hop_by_hop(&mut headers);
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -5,9 +5,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use baobabvane_decide::{
-    Descriptor, Ending, EndpointKey, FailedAt, Goal, KindId, OrgId, Rank, Refusal,
-};
+use baobabvane_decide::{Descriptor, Ending, EndpointKey, FailedAt, Goal, KindId, OrgId, Rank};
 use baobabvane_domain::Verdict;
 use baobabvane_wire::{ClientConn, Response, WireError};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -15,8 +13,8 @@
 
 use super::{
     admission::Incoming,
+    failure::Failure,
     flight::{self, InFlight},
-    reply::Reply,
 };
 use crate::{
     configuration::{QuotaUnit, Semantics},
@@ -36,9 +34,6 @@
 const MAX_SKIPPED: u32 = 3;
 /// The largest whole answer that is held, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// A caller that was refused for load comes back after the wait of its tier, within these.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 /// Ranks beyond this one are taken for it, so that two fit into one number.
 const MAX_RANK: u8 = 15;
 /// An endpoint that owes the first piece of an answer that may be repeated is given up
@@ -52,8 +47,8 @@
     pub(super) cx: &'a Context,
     pub(super) incoming: Incoming,
     /// Endpoints that were sent the request.
-    sent: Cell<u32>,
-    verdict: Cell<Verdict>,
+    pub(super) sent: Cell<u32>,
+    pub(super) verdict: Cell<Verdict>,
     failed_at: std::cell::RefCell<FailedAt>,
 }
 
@@ -74,23 +69,8 @@
     pub(super) endpoint_id: String,
 }
 
-/// Why the caller gets no answer of an endpoint.
-#[derive(Debug)]
-pub(super) enum Failure {
-    /// No endpoint was found for it; it has not run.
-    Refused(Refused),
-    /// Every endpoint that it was sent to said that it did not run it.
-    NotRun(&'static str),
-    /// An endpoint may have run it.
-    MayHaveRun(&'static str),
-    /// The time is over.
-    TimedOut(Verdict),
-    /// The process is ending.
-    Stopping,
-}
-
 /// How one try at an endpoint ended without an answer for the caller.
-enum Missed {
+pub(super) enum Missed {
     /// Nothing was sent.
     Unreached,
     /// The endpoint said that it did not run the request.
@@ -261,7 +241,7 @@
 
     /// The organisation's rank goes first; requests of one rank are told apart by their
     /// route's.
-    fn rank(&self) -> Rank {
+    pub(super) fn rank(&self) -> Rank {
         let route = self.incoming.route.rank.min(MAX_RANK);
         let organisation = self.incoming.organisation.as_ref().and_then(|o| o.rank);
         organisation.unwrap_or(route).min(MAX_RANK) * (MAX_RANK + 1) + route
@@ -441,7 +421,7 @@
 
     /// Removes from an answer's headers what concerns the endpoint's connection only.
     pub(super) fn clean(&self, headers: &mut HeaderMap) {
-        headers::remove_hop_by_hop(headers);
+        baobabvane_wire::remove_hop_by_hop(headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(&self.cx.names.load);
     }
@@ -465,154 +445,8 @@
         headers
     }
 
-    /// Returns the request's id for logs.
-    pub(super) fn id(&self) -> &str {
-        self.incoming.id.to_str().unwrap_or("-")
-    }
-
-    /// Writes one line on a decision about this request.
-    pub(super) fn log(&self, event: &str, details: std::fmt::Arguments<'_>) {
-        log::info!("event={event} request={} {details}", self.id());
-    }
-
-    fn log_dispatched(&self, grant: &Grant) {
-        let Incoming { route, version, pool, organisation, prompt, .. } = &self.incoming;
-        let organisation = organisation.as_ref().map_or("-", |o| o.name.as_str());
-        let why = &grant.why;
-        log::info!(
-            "event=dispatched request={} route={} organisation={organisation} pool={pool} \
-             endpoint={} rank={} prompt_tokens={} answer_tokens={} of={} expected_ms={:.0} \
-             cached_tokens={} waited_ms={:.0} waiting={} in_flight={} room={} \
-             time_left_ms={} version={version}",
-            self.id(),
-            route.name,
-            grant.id,
-            self.rank(),
-            prompt.tokens,
-            prompt.answer_tokens,
-            prompt.max_answer_tokens,
-            grant.expected_ms,
-            grant.cached_tokens,
-            why.waited_ms,
-            why.waiting_in_tier,
-            why.in_flight,
-            why.room,
-            self.time_left().as_millis(),
-        );
-    }
-
-    fn log_missed(&self, grant: &Grant, missed: &Missed) {
-        let (verdict, cause) = match missed {
-            Missed::Unreached => (Verdict::NotRun, "the endpoint could not be reached"),
-            Missed::NotRun(cause) => (Verdict::NotRun, *cause),
-            Missed::MayHaveRun(cause) => (Verdict::MayHaveRun, *cause),
-            Missed::Failed(_) => (Verdict::Ran, "the endpoint answered with an error"),
-            Missed::Refused(_) | Missed::Stopping => return,
-        };
-        self.log(
-            "try_failed",
-            format_args!("endpoint={} verdict={verdict} cause={cause:?}", grant.id),
-        );
-    }
-
-    pub(super) fn log_answered(&self, res: &Response) {
-        self.record("answered");
-        self.log(
-            "answered",
-            format_args!(
-                "route={} status={} ms={} tried={}",
-                self.incoming.route.name,
-                res.status().as_u16(),
-                self.incoming.began.elapsed().as_millis(),
-                self.sent.get()
-            ),
-        );
-    }
-
-    pub(super) fn log_left(&self) {
-        self.record("left");
-        self.log(
-            "caller_left",
-            format_args!(
-                "route={} ms={} tried={} verdict={}",
-                self.incoming.route.name,
-                self.incoming.began.elapsed().as_millis(),
-                self.sent.get(),
-                self.verdict.get()
-            ),
-        );
-    }
-
-    pub(super) fn log_failed(&self, failure: &Failure) {
-        self.record(failure.as_str());
-        self.log(
-            "failed",
-            format_args!(
-                "route={} outcome={} detail=\"{failure:?}\" ms={} tried={} verdict={}",
-                self.incoming.route.name,
-                failure.as_str(),
-                self.incoming.began.elapsed().as_millis(),
-                self.sent.get(),
-                self.verdict.get()
-            ),
-        );
-    }
-
-    /// Counts an outcome and its time.
-    pub(super) fn record(&self, outcome: &'static str) {
-        metrics::counter!("baobabvane_gateway_requests_total", "outcome" => outcome).increment(1);
-        metrics::histogram!("baobabvane_gateway_seconds", "outcome" => outcome)
-            .record(self.incoming.began.elapsed().as_secs_f64());
-    }
-
     /// Returns when the request came in.
     pub(super) fn began(&self) -> Instant {
         self.incoming.began
     }
 }
-
-impl Failure {
-    /// Returns the name that logs and metrics carry.
-    pub(super) fn as_str(&self) -> &'static str {
-        match self {
-            Self::Refused(refused) => refused.as_str(),
-            Self::NotRun(_) => "not_run",
-            Self::MayHaveRun(_) => "may_have_run",
-            Self::TimedOut(_) => "timed_out",
-            Self::Stopping => "stopping",
-        }
-    }
-
-    /// Returns the answer for the caller; only a request that has not run gets a
-    /// status that promises so.
-    pub(super) fn into_response(self, id: &HeaderValue, cx: &Context) -> Response {
-        let reply = match self {
-            Self::Refused(Refused::Quota { retry_after_ms }) => {
-                let after = Duration::from_secs_f64(retry_after_ms / 1_000.0).max(MIN_RETRY_AFTER);
-                Reply::new(StatusCode::TOO_MANY_REQUESTS, "over the quota").retry_after(Some(after))
-            }
-            Self::Refused(refused) => Reply::new(StatusCode::SERVICE_UNAVAILABLE, refused.as_str())
-                .retry_after(Some(refused.retry_after())),
-            Self::NotRun(cause) => Reply::new(StatusCode::SERVICE_UNAVAILABLE, cause)
-                .retry_after(Some(MIN_RETRY_AFTER)),
-            Self::MayHaveRun(cause) => Reply::new(StatusCode::BAD_GATEWAY, cause),
-            Self::TimedOut(Verdict::NotRun) => {
-                Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoint in time")
-            }
-            Self::TimedOut(_) => Reply::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            Self::Stopping => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-        };
-        reply.header(&cx.names.request_id, id).build()
-    }
-}
-
-impl Refused {
-    /// Returns when another try may succeed.
-    fn retry_after(self) -> Duration {
-        let wait = match self {
-            Self::Core { refusal: Refusal::Load, why } => why.tier_wait_ms / 1_000.0,
-            _ => 0.0,
-        };
-        Duration::from_secs_f64(wait.max(0.0)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/caller/failure.rs
@@ -0,0 +1,76 @@
+//! Why a caller gets no answer of an endpoint, and what it is told.
+
+use std::time::Duration;
+
+use baobabvane_decide::Refusal;
+use baobabvane_domain::Verdict;
+use baobabvane_wire::Response;
+use http::{HeaderValue, StatusCode};
+
+use super::reply::Reply;
+use crate::{context::Context, scheduler::Refused};
+
+/// A caller that was refused for load comes back after the wait of its tier, within these.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_000);
+
+/// Why the caller gets no answer of an endpoint.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// No endpoint was found for it; it has not run.
+    Refused(Refused),
+    /// Every endpoint that it was sent to said that it did not run it.
+    NotRun(&'static str),
+    /// An endpoint may have run it.
+    MayHaveRun(&'static str),
+    /// The time is over.
+    TimedOut(Verdict),
+    /// The process is ending.
+    Stopping,
+}
+
+impl Failure {
+    /// Returns the name that logs and metrics carry.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Refused(refused) => refused.as_str(),
+            Self::NotRun(_) => "not_run",
+            Self::MayHaveRun(_) => "may_have_run",
+            Self::TimedOut(_) => "timed_out",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    /// Returns the answer for the caller; only a request that has not run gets a
+    /// status that promises so.
+    pub(super) fn into_response(self, id: &HeaderValue, cx: &Context) -> Response {
+        let reply = match self {
+            Self::Refused(Refused::Quota { retry_after_ms }) => {
+                let after = Duration::from_secs_f64(retry_after_ms / 1_000.0).max(MIN_RETRY_AFTER);
+                Reply::new(StatusCode::TOO_MANY_REQUESTS, "over the quota").retry_after(Some(after))
+            }
+            Self::Refused(refused) => Reply::new(StatusCode::SERVICE_UNAVAILABLE, refused.as_str())
+                .retry_after(Some(refused.retry_after())),
+            Self::NotRun(cause) => Reply::new(StatusCode::SERVICE_UNAVAILABLE, cause)
+                .retry_after(Some(MIN_RETRY_AFTER)),
+            Self::MayHaveRun(cause) => Reply::new(StatusCode::BAD_GATEWAY, cause),
+            Self::TimedOut(Verdict::NotRun) => {
+                Reply::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoint in time")
+            }
+            Self::TimedOut(_) => Reply::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            Self::Stopping => Reply::new(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        };
+        reply.header(&cx.names.request_id, id).build()
+    }
+}
+
+impl Refused {
+    /// Returns when another try may succeed.
+    fn retry_after(self) -> Duration {
+        let wait = match self {
+            Self::Core { refusal: Refusal::Load, why } => why.tier_wait_ms / 1_000.0,
+            _ => 0.0,
+        };
+        Duration::from_secs_f64(wait.max(0.0)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+}
--- a/crates/gateway/src/caller/flight.rs
+++ b/crates/gateway/src/caller/flight.rs
@@ -4,11 +4,9 @@
 //! request early drops the value, which tells the scheduler.
 
 use baobabvane_decide::{Ending, Ticket};
+use baobabvane_tasks::Mailbox;
 
-use crate::{
-    message::Mailbox,
-    scheduler::{Grant, Order, Refused, ToScheduler},
-};
+use crate::scheduler::{Grant, Order, Refused, ToScheduler};
 
 /// Withdraws the request unless it was granted or refused.
 struct Waiting<'a> {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,13 +7,11 @@
 };
 
 use baobabvane_decide::Ticket;
+use baobabvane_tasks::Mailbox;
 use futures::{FutureExt, channel::oneshot, future::Shared};
 use monoio::time::Instant;
 
-use crate::{
-    headers::HeaderNames, knowledge::Knowledge, links::Links, message::Mailbox,
-    scheduler::ToScheduler,
-};
+use crate::{headers::HeaderNames, knowledge::Knowledge, links::Links, scheduler::ToScheduler};
 
 /// Handles of the tasks, and the instance's own state.
 pub(crate) struct Context {
@@ -116,21 +114,3 @@
         let _ = self.begun.clone().await;
     }
 }
-
-/// Counts something for as long as it lives.
-pub(crate) struct Counted<'a> {
-    cell: &'a Cell<usize>,
-}
-
-impl<'a> Counted<'a> {
-    pub(crate) fn new(cell: &'a Cell<usize>) -> Self {
-        cell.set(cell.get() + 1);
-        Self { cell }
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.cell.set(self.cell.get() - 1);
-    }
-}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,19 +1,11 @@
 //! Joins the parts of an instance and takes it through its life.
 
-use std::{
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_decide::Policy;
+use baobabvane_tasks::{Mailbox, StopHandle, listen};
 use monoio::{
-    net::{ListenerOpts, TcpListener},
+    net::TcpListener,
     time::{Instant, sleep},
 };
 use serde::{Deserialize, Serialize};
@@ -21,9 +13,9 @@
 use crate::{
     caller,
     context::Context,
+    feed::Feed,
     headers::HeaderNames,
-    knowledge::{Feed, Knowledge},
-    message::Mailbox,
+    knowledge::Knowledge,
     peer::{self, ToPeers},
     ready::{self, RenderMetrics},
     scheduler,
@@ -86,28 +78,6 @@
     grace: Duration,
 }
 
-/// Asks an instance to stop, from any thread or signal handler.
-#[derive(Clone, Debug, Default)]
-pub struct StopHandle {
-    flag: Arc<AtomicBool>,
-}
-
-impl StopHandle {
-    /// Asks for a graceful stop.
-    pub fn stop(&self) {
-        self.flag.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns the flag that a signal handler may set.
-    pub fn flag(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.flag)
-    }
-
-    fn is_set(&self) -> bool {
-        self.flag.load(Ordering::Relaxed)
-    }
-}
-
 impl Gateway<Starting> {
     /// Binds the sockets, so that an address in use is an error before anything starts.
     ///
@@ -115,15 +85,10 @@
     ///
     /// When an address cannot be bound.
     pub fn bind(settings: GatewaySettings) -> io::Result<Self> {
-        let opts = ListenerOpts::new().backlog(1024).reuse_port(false);
-        let bind = |address: SocketAddr| {
-            TcpListener::bind_with_config(address, &opts)
-                .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
-        };
         let state = Starting {
-            callers: bind(settings.listen)?,
-            ready: bind(settings.ready_listen)?,
-            metrics: settings.metrics_listen.map(bind).transpose()?,
+            callers: listen(settings.listen)?,
+            ready: listen(settings.ready_listen)?,
+            metrics: settings.metrics_listen.map(listen).transpose()?,
         };
         Ok(Self { settings, state })
     }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -1,6 +1,6 @@
 //! The names of the headers that the gateway reads and sets.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Header names that differ between deployments; an adapter fills them in.
 #[derive(Clone, Debug)]
@@ -51,32 +51,6 @@
 /// The header that tells after which event a stream goes on.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
-/// Headers of a message that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
-/// Removes the headers that concern one connection only.
-pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP.iter().chain(&listed) {
-        headers.remove(name);
-    }
-}
-
 /// Reads a header as text.
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim)
@@ -104,16 +78,6 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn headers_of_one_connection_are_removed() {
-        let mut headers = HeaderMap::new();
-        for (name, value) in [("connection", "close, X-Hop"), ("x-hop", "1"), ("x-end", "2")] {
-            headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
-        }
-        remove_hop_by_hop(&mut headers);
-        assert_eq!(headers.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-end"]);
-    }
-
     #[test]
     fn a_load_counts_what_runs_and_what_waits() {
         let name = HeaderNames::default().load;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,10 +17,10 @@
 mod daemon;
 mod directory;
 mod events;
+mod feed;
 mod headers;
 mod knowledge;
 mod links;
-mod message;
 mod peer;
 mod prompt;
 mod quota;
@@ -35,9 +35,8 @@
     CallerLimits, Configuration, Engine, Organisation, Pool, Quota, QuotaUnit, Route, Semantics,
     Sighting, Target,
 };
-pub use daemon::{Gateway, GatewaySettings, Serving, Starting, StopHandle};
+pub use daemon::{Gateway, GatewaySettings, Serving, Starting};
+pub use feed::Feed;
 pub use headers::HeaderNames;
-pub use knowledge::Feed;
-pub use message::Mailbox;
 pub use ready::RenderMetrics;
 pub use retry::RetryBudget;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -13,6 +13,7 @@
 
 use baobabvane_decide::Elsewhere;
 use baobabvane_members::SharedKey;
+use baobabvane_tasks::Mailbox;
 use local_sync::mpsc::unbounded;
 use monoio::{
     net::{TcpListener, udp::UdpSocket},
@@ -26,7 +27,6 @@
 };
 use crate::{
     knowledge::Knowledge,
-    message::Mailbox,
     scheduler::{ToScheduler, id_hash},
 };
 
--- a/crates/gateway/src/peer/beat.rs
+++ b/crates/gateway/src/peer/beat.rs
@@ -1,17 +1,11 @@
 //! The heartbeat and its bytes.
 
-use baobabvane_members::SharedKey;
+use baobabvane_members::{PacketError, SharedKey, open, seal};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use super::{LocalState, PeerId};
 use crate::knowledge::Versions;
 
-/// The version of the format; others are dropped and counted.
-const VERSION: u8 = 1;
-/// Bytes of the keyed hash that a message carries.
-const TAG_BYTES: usize = 16;
-
 /// What an instance sends to the others again and again.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct Beat {
@@ -38,51 +32,16 @@
     pub(super) reached_age_ms: Option<u64>,
 }
 
-/// Why a message was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub(super) enum MessageError {
-    #[error("broken message")]
-    Broken,
-    #[error("message of version {0}")]
-    Version(u8),
-    #[error("message without the fleet's key")]
-    Forged,
-}
-
 impl Beat {
     pub(super) fn encode(&self, key: &SharedKey) -> Vec<u8> {
         seal(self, key)
     }
 
-    pub(super) fn decode(bytes: &[u8], key: &SharedKey) -> Result<Self, MessageError> {
+    pub(super) fn decode(bytes: &[u8], key: &SharedKey) -> Result<Self, PacketError> {
         open(bytes, key)
     }
 }
 
-/// Encodes a message and adds its keyed hash.
-pub(super) fn seal(message: &impl Serialize, key: &SharedKey) -> Vec<u8> {
-    let mut bytes = postcard::to_extend(message, vec![VERSION]).expect("messages are serialisable");
-    let tag = key.hash(&bytes);
-    bytes.extend_from_slice(&tag[..TAG_BYTES]);
-    bytes
-}
-
-/// Checks the keyed hash of a message and decodes it.
-pub(super) fn open<'a, T: Deserialize<'a>>(
-    bytes: &'a [u8],
-    key: &SharedKey,
-) -> Result<T, MessageError> {
-    let (message, tag) = bytes.split_last_chunk::<TAG_BYTES>().ok_or(MessageError::Broken)?;
-    let (version, body) = message.split_first().ok_or(MessageError::Broken)?;
-    if !key.verify(message, tag) {
-        return Err(MessageError::Forged);
-    }
-    if *version != VERSION {
-        return Err(MessageError::Version(*version));
-    }
-    postcard::from_bytes(body).map_err(|_| MessageError::Broken)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -106,9 +65,9 @@
         let key = SharedKey::new("a");
         let mut bytes = beat.encode(&key);
         assert_eq!(Beat::decode(&bytes, &key), Ok(beat));
-        assert_eq!(Beat::decode(&bytes, &SharedKey::new("b")), Err(MessageError::Forged));
+        assert_eq!(Beat::decode(&bytes, &SharedKey::new("b")), Err(PacketError::Forged));
         bytes[3] ^= 1;
-        assert_eq!(Beat::decode(&bytes, &key), Err(MessageError::Forged));
-        assert_eq!(Beat::decode(&bytes[..5], &key), Err(MessageError::Broken));
+        assert_eq!(Beat::decode(&bytes, &key), Err(PacketError::Forged));
+        assert_eq!(Beat::decode(&bytes[..5], &key), Err(PacketError::Broken));
     }
 }
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use baobabvane_members::SharedKey;
+use baobabvane_members::{PacketError, SharedKey, open, seal};
+use baobabvane_tasks::Mailbox;
 use monoio::{
     io::{AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
@@ -11,10 +12,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::beat::{MessageError, open, seal};
 use crate::{
     knowledge::{Knowledge, Snapshot, Versions},
-    message::Mailbox,
     scheduler::ToScheduler,
 };
 
@@ -35,7 +34,7 @@
     #[error("connection failed: {0}")]
     Io(#[from] std::io::Error),
     #[error(transparent)]
-    Message(#[from] MessageError),
+    Message(#[from] PacketError),
     #[error("message of {0} bytes is over the limit")]
     TooLarge(u32),
     #[error("the fleet's key is not known yet")]
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -12,6 +12,7 @@
 use baobabvane_decide::{
     Action, Core, Elsewhere, Ending, EndpointKey, EndpointSpec, Event, Policy, Report, Ticket, Why,
 };
+use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::Instant;
 use rustc_hash::FxHashMap;
@@ -21,7 +22,6 @@
 use crate::{
     configuration::{Configuration, Engine, Sighting},
     directory::{Change, Directory, EndpointList},
-    message::Mailbox,
     peer::{LocalState, PeerState},
     retry::{RetryBudget, RetryWindow},
 };
--- a/crates/gateway/tests/testsuite/stage.rs
+++ b/crates/gateway/tests/testsuite/stage.rs
@@ -4,8 +4,9 @@
 
 use baobabvane_gateway::{
     Configuration, Feed, Gateway, GatewaySettings, HeaderNames, Organisation, RetryBudget, Route,
-    Semantics, Sighting, StopHandle, Target,
+    Semantics, Sighting, Target,
 };
+use baobabvane_tasks::StopHandle;
 use baobabvane_wire::{ClientConn, Connector, WireError};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -10,5 +10,5 @@
 mod roster;
 
 pub use membership::{Counts, Datagram, Member, Membership, Peer};
-pub use packet::{PacketError, SharedKey};
+pub use packet::{PacketError, SharedKey, open, seal};
 pub use roster::Roster;
--- a/crates/members/src/packet.rs
+++ b/crates/members/src/packet.rs
@@ -73,22 +73,35 @@
 
 impl Packet {
     pub(crate) fn encode(&self, key: &SharedKey) -> Vec<u8> {
-        let mut bytes = vec![VERSION];
-        bytes = postcard::to_extend(self, bytes).expect("a packet is serialisable");
-        let tag = key.hash(&bytes);
-        bytes.extend_from_slice(&tag[..TAG_BYTES]);
-        bytes
+        seal(self, key)
     }
 
     pub(crate) fn decode(bytes: &[u8], key: &SharedKey) -> Result<Self, PacketError> {
-        let (message, tag) = bytes.split_last_chunk::<TAG_BYTES>().ok_or(PacketError::Broken)?;
-        let (version, body) = message.split_first().ok_or(PacketError::Broken)?;
-        if !key.verify(message, tag) {
-            return Err(PacketError::Forged);
-        }
-        if *version != VERSION {
-            return Err(PacketError::Version(*version));
-        }
-        postcard::from_bytes(body).map_err(|_| PacketError::Broken)
+        open(bytes, key)
     }
 }
+
+/// Encodes a message and adds its keyed hash.
+pub fn seal(message: &impl Serialize, key: &SharedKey) -> Vec<u8> {
+    let mut bytes = postcard::to_extend(message, vec![VERSION]).expect("messages are serialisable");
+    let tag = key.hash(&bytes);
+    bytes.extend_from_slice(&tag[..TAG_BYTES]);
+    bytes
+}
+
+/// Checks the keyed hash of a message and decodes it.
+///
+/// # Errors
+///
+/// When it is broken, of another version, or without the key.
+pub fn open<'a, T: Deserialize<'a>>(bytes: &'a [u8], key: &SharedKey) -> Result<T, PacketError> {
+    let (message, tag) = bytes.split_last_chunk::<TAG_BYTES>().ok_or(PacketError::Broken)?;
+    let (version, body) = message.split_first().ok_or(PacketError::Broken)?;
+    if !key.verify(message, tag) {
+        return Err(PacketError::Forged);
+    }
+    if *version != VERSION {
+        return Err(PacketError::Version(*version));
+    }
+    postcard::from_bytes(body).map_err(|_| PacketError::Broken)
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,14 +3,15 @@
 use std::{
     env, fs,
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::{Deref, DerefMut},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
 };
 
 use serde_json::{Value, json};
 
-use crate::{Backend, Proxy, Store, free_addresses};
+use crate::{Backend, Proxy, Store, free_addresses, program::Program};
 
 /// Time bounds that the settings state, in milliseconds.
 const CONNECTIVITY_MS: u64 = 3_000;
@@ -26,7 +27,7 @@
     log: PathBuf,
     callers: SocketAddr,
     ready: SocketAddr,
-    child: Child,
+    program: Program,
     /// What the instance reaches the store through.
     pub store_link: Proxy,
 }
@@ -54,8 +55,8 @@
         let settings = folder.join(format!("{name}.conf"));
         fs::write(&settings, text).expect("the folder can be written");
         let log = folder.join(format!("{name}.log"));
-        let child = start(binary, &settings, &log);
-        Self { binary: binary.to_owned(), settings, log, callers, ready, child, store_link }
+        let program = start(binary, &settings, &log);
+        Self { binary: binary.to_owned(), settings, log, callers, ready, program, store_link }
     }
 
     /// Returns where callers connect.
@@ -73,46 +74,37 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// Sends a signal by its name, such as `TERM`.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{name}"), &id]).status();
-        assert!(status.is_ok_and(|s| s.success()), "the process is ours and was not reaped");
-    }
-
-    /// Says whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
-    /// Waits for the process to end.
-    pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("the process is ours")
-    }
-
     /// Starts the process again once it has ended.
     pub fn restart(&mut self) {
         self.wait();
-        self.child = start(&self.binary, &self.settings, &self.log);
+        self.program = start(&self.binary, &self.settings, &self.log);
+    }
+}
+
+impl Deref for GatewayProcess {
+    type Target = Program;
+
+    fn deref(&self) -> &Program {
+        &self.program
     }
 }
 
-impl Drop for GatewayProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+impl DerefMut for GatewayProcess {
+    fn deref_mut(&mut self) -> &mut Program {
+        &mut self.program
     }
 }
 
-fn start(binary: &Path, settings: &Path, log: &Path) -> Child {
+fn start(binary: &Path, settings: &Path, log: &Path) -> Program {
     let out = fs::OpenOptions::new().create(true).append(true).open(log);
-    Command::new(binary)
+    let child = Command::new(binary)
         .arg("gateway")
         .env("BAOBABVANE_SETTINGS", settings)
         .env("RUST_LOG", "info")
         .stdout(Stdio::from(out.expect("the folder can be written")))
         .spawn()
-        .expect("the binary was built")
+        .expect("the binary was built");
+    Program::new(child)
 }
 
 /// A store, endpoints behind proxies, and gateways.
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -4,19 +4,22 @@
     env, fs,
     io::{BufRead, BufReader},
     net::{SocketAddr, TcpListener},
+    ops::{Deref, DerefMut},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
+use crate::program::Program;
+
 /// The kernel counts processor time in hundredths of a second.
 const TICK_MS: u64 = 10;
 
 /// A running daemon; dropping it kills it.
 #[derive(Debug)]
 pub struct Process {
-    child: Child,
+    program: Program,
     callers: SocketAddr,
     operators: SocketAddr,
 }
@@ -39,7 +42,11 @@
             let word = line.split_whitespace().find_map(|w| w.strip_prefix(name));
             word.and_then(|a| a.parse().ok()).expect("the binary prints its addresses")
         };
-        Self { callers: address("callers="), operators: address("operators="), child }
+        Self {
+            callers: address("callers="),
+            operators: address("operators="),
+            program: Program::new(child),
+        }
     }
 
     /// Returns the daemon's binary beside the running example's folder.
@@ -58,26 +65,9 @@
         self.operators
     }
 
-    /// Sends a signal by its name, such as `TERM`.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{name}"), &id]).status();
-        assert!(status.is_ok_and(|s| s.success()), "the process is ours and was not reaped");
-    }
-
-    /// Says whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
-    /// Waits for the process to end.
-    pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("the process is ours")
-    }
-
     /// Returns the resident memory, in KiB.
     pub fn memory_kib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = fs::read_to_string(format!("/proc/{}/status", self.program.id()));
         let status = status.expect("the process runs");
         let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("a line on memory");
         line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
@@ -85,7 +75,7 @@
 
     /// Returns the processor time used so far.
     pub fn cpu(&self) -> Duration {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.program.id()));
         let stat = stat.expect("the process runs");
         // User and system time follow the command's name in parentheses.
         let fields = stat.rsplit(") ").next().unwrap_or_default();
@@ -95,10 +85,17 @@
     }
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+impl Deref for Process {
+    type Target = Program;
+
+    fn deref(&self) -> &Program {
+        &self.program
+    }
+}
+
+impl DerefMut for Process {
+    fn deref_mut(&mut self) -> &mut Program {
+        &mut self.program
     }
 }
 
--- /dev/null
+++ b/crates/tasks/src/counted.rs
@@ -0,0 +1,22 @@
+//! Counts what is going on.
+
+use std::cell::Cell;
+
+/// Counts something for as long as it lives.
+pub struct Counted<'a> {
+    cell: &'a Cell<usize>,
+}
+
+impl<'a> Counted<'a> {
+    /// Adds one to the count.
+    pub fn new(cell: &'a Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Self { cell }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.cell.set(self.cell.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/hop.rs
@@ -0,0 +1,46 @@
+//! Headers that concern one connection only.
+
+use http::{HeaderMap, HeaderName, header};
+
+/// Headers of a message that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes the headers that concern one connection only.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&listed) {
+        headers.remove(name);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use http::HeaderValue;
+
+    use super::*;
+
+    #[test]
+    fn headers_of_one_connection_are_removed() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in [("connection", "close, X-Hop"), ("x-hop", "1"), ("x-end", "2")] {
+            headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        remove_hop_by_hop(&mut headers);
+        assert_eq!(headers.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-end"]);
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,10 +13,12 @@
 mod decode;
 mod encode;
 mod error;
+mod hop;
 mod server;
 
 pub use client::{ClientConn, Connector};
 pub use error::WireError;
+pub use hop::remove_hop_by_hop;
 pub use server::{Limits, ServerConn};
 
 /// A request with its whole body.
