gateway: heartbeats tell only the totals that changed lately

Cause: at 12,000 organisations a heartbeat would carry 140 KB; the first total heard of a peer that had run for long was charged nothing only by luck of order. Change: totals that changed within 5 s are told; the first one heard of a peer and an organisation is a baseline.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -24,6 +24,8 @@
     at_ms: f64,
     /// All that this instance ever admitted, for the heartbeats.
     admitted: f64,
+    /// When that changed last.
+    admitted_at_ms: f64,
     /// What others admitted lately; the window forgets it exponentially.
     elsewhere: Recent,
 }
@@ -60,6 +62,7 @@
             share: 1.0,
             at_ms: now_ms,
             admitted: 0.0,
+            admitted_at_ms: f64::NEG_INFINITY,
             elsewhere: Recent::default(),
         }
     }
@@ -95,6 +98,7 @@
         }
         self.level -= units;
         self.admitted += units;
+        self.admitted_at_ms = now_ms;
         Ok(())
     }
 
@@ -102,6 +106,7 @@
     pub(crate) fn give_back(&mut self, units: f64) {
         self.level = (self.level + units).min(self.capacity());
         self.admitted -= units;
+        self.admitted_at_ms = self.at_ms;
     }
 
     /// Takes out what another instance admitted.
@@ -116,6 +121,11 @@
         self.admitted
     }
 
+    /// Says whether the total changed within a time.
+    pub(crate) fn is_fresh(&self, within_ms: f64, now_ms: f64) -> bool {
+        now_ms - self.admitted_at_ms < within_ms
+    }
+
     fn refill(&mut self, now_ms: f64) {
         let elapsed = (now_ms - self.at_ms).max(0.0);
         self.at_ms = self.at_ms.max(now_ms);
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -381,7 +381,7 @@
             self.pools.values().flat_map(|p| p.core.loads()).filter_map(|(key, load)| {
                 Some((order::id_hash(&self.directory.get(key)?.id), load))
             });
-        LocalState { loads: loads.collect(), admitted: self.fleet.admitted() }
+        LocalState { loads: loads.collect(), admitted: self.fleet.admitted(self.now()) }
     }
 }
 
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -14,6 +14,10 @@
 /// most of what it had in flight is done.
 const LOAD_MAX_AGE_MS: f64 = 1_000.0;
 
+/// How long a total is told again after it changed, in milliseconds: some rounds of
+/// heartbeats in a fleet of a hundred instances.
+const TOLD_MS: f64 = 5_000.0;
+
 #[derive(Debug)]
 struct Peer {
     incarnation: u64,
@@ -83,14 +87,13 @@
 
     /// Takes in a heartbeat; what the sender admitted since its last one is charged.
     pub(super) fn heard_from(&mut self, state: PeerState, now: f64) {
-        let admitted: FxHashMap<u32, f64> = state.local.admitted.into_iter().collect();
-        let known = self.peers.get(&state.peer).filter(|p| p.incarnation == state.incarnation);
-        if let Some(known) = known {
-            for (org, total) in &admitted {
-                let before = known.admitted.get(org).copied().unwrap_or_default();
-                if let Some(bucket) = self.buckets.get_mut(org) {
-                    bucket.used_elsewhere(total - before, now);
-                }
+        let known = self.peers.remove(&state.peer).filter(|p| p.incarnation == state.incarnation);
+        let mut admitted = known.map(|p| p.admitted).unwrap_or_default();
+        for (org, total) in state.local.admitted {
+            // The first total that is heard can hold the use of hours; it is not charged.
+            let Some(before) = admitted.insert(org, total) else { continue };
+            if let Some(bucket) = self.buckets.get_mut(&org) {
+                bucket.used_elsewhere(total - before, now);
             }
         }
         let peer = Peer {
@@ -138,8 +141,58 @@
         Some(sums)
     }
 
-    /// Returns what this instance ever admitted, by organisation.
-    pub(super) fn admitted(&self) -> Vec<(u32, f64)> {
-        self.buckets.iter().map(|(org, b)| (*org, b.admitted())).collect()
+    /// Returns what this instance ever admitted, by organisation, of those whose total
+    /// changed lately; the others' totals are known everywhere.
+    pub(super) fn admitted(&self, now: f64) -> Vec<(u32, f64)> {
+        let fresh = self.buckets.iter().filter(|(_, b)| b.is_fresh(TOLD_MS, now));
+        fresh.map(|(org, b)| (*org, b.admitted())).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::rc::Rc;
+
+    use super::*;
+    use crate::{
+        configuration::{Quota, QuotaUnit},
+        peer::LocalState,
+        testing::organisation,
+    };
+
+    fn fleet(organisations: &[Organisation]) -> Fleet {
+        let mut fleet = Fleet::default();
+        fleet.configure(organisations, 0.0);
+        fleet.set_heard(2, 2, 0.0);
+        fleet
+    }
+
+    fn growers() -> Organisation {
+        let quota = Quota { unit: QuotaUnit::Requests, per_s: 0.0, burst: 100.0 };
+        Organisation { quota: Some(quota), ..organisation("growers", "k1") }
+    }
+
+    fn heard(admitted: &[(u32, f64)]) -> PeerState {
+        let local = LocalState { loads: vec![], admitted: admitted.to_vec() };
+        PeerState { peer: ([127, 0, 0, 1], 7600).into(), incarnation: 1, local }
+    }
+
+    #[test]
+    fn only_totals_that_changed_lately_are_told_and_none_is_charged_twice() {
+        let rate = Quota { unit: QuotaUnit::Requests, per_s: 10.0, burst: 10.0 };
+        let org = Organisation { quota: Some(rate), ..growers() };
+        let mut fleet = fleet(&[org.clone(), organisation("menders", "k2")]);
+        let usage = Usage { organisation: Rc::new(org), units: 4.0 };
+        assert!(fleet.admit(&usage, 1_000.0).is_ok());
+        let hash = id_hash("growers");
+        assert_eq!(fleet.admitted(1_000.0), [(hash, 4.0)]);
+        assert_eq!(fleet.admitted(7_000.0), []);
+        // The use of hours before is not charged, what comes on top is, and that once.
+        fleet.heard_from(heard(&[(hash, 1_000_000.0)]), 7_000.0);
+        fleet.heard_from(heard(&[(hash, 1_000_010.0)]), 7_000.0);
+        assert!(fleet.admit(&usage, 7_010.0).is_err());
+        fleet.heard_from(heard(&[]), 7_100.0);
+        fleet.heard_from(heard(&[(hash, 1_000_010.0)]), 8_000.0);
+        assert!(fleet.admit(&usage, 8_500.0).is_ok());
     }
 }
