gateway, standin: one test of what may be repeated; the stand-ins use the code's words

exchange.rs had the same condition twice; the platform's header names in soak and tests move into the stand-ins' caller; its endpoint is called so. No behaviour changes.

--- a/crates/entry/examples/soak.rs
+++ b/crates/entry/examples/soak.rs
@@ -15,7 +15,7 @@
 };
 
 use baobabvane_standin::{
-    BackendFault, Caller, Fleet, Harm, Process, Received, STREAM_EVENTS, StoreFault,
+    Caller, EndpointFault, Fleet, Harm, Process, Received, STREAM_EVENTS, StoreFault,
 };
 use baobabvane_wire::{ClientConn, WireError};
 use clap::{Arg, value_parser};
@@ -24,7 +24,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 const GATEWAYS: u8 = 3;
-const BACKENDS: usize = 4;
+const ENDPOINTS: usize = 4;
 const CALLERS: usize = 8;
 /// The time limit of the routes, and what an answer may take beyond it.
 const TIME_LIMIT: Duration = Duration::from_secs(6);
@@ -73,8 +73,8 @@
     Reload(usize),
     Store(StoreFault),
     StoreLink(usize, Harm),
-    Backend(usize, BackendFault),
-    BackendLink(usize, Harm),
+    Endpoint(usize, EndpointFault),
+    EndpointLink(usize, Harm),
     Drain(usize),
     Unlist(usize),
     Configure,
@@ -84,7 +84,7 @@
 impl Fault {
     fn draw(rng: &mut SmallRng) -> Self {
         let gateway = rng.random_range(0..usize::from(GATEWAYS));
-        let backend = rng.random_range(0..BACKENDS);
+        let endpoint = rng.random_range(0..ENDPOINTS);
         let harm = match rng.random_range(0..4) {
             0 => Harm::Delay(Duration::from_millis(rng.random_range(5..400))),
             1 => Harm::Reset,
@@ -105,21 +105,21 @@
                 _ => StoreFault::Slow(Duration::from_millis(rng.random_range(50..1_500))),
             }),
             7 => Self::StoreLink(gateway, harm),
-            8 | 9 => Self::Backend(
-                backend,
+            8 | 9 => Self::Endpoint(
+                endpoint,
                 match rng.random_range(0..7) {
-                    0 => BackendFault::Sheds,
-                    1 => BackendFault::Errors,
-                    2 => BackendFault::LosesAnswers,
-                    3 => BackendFault::Hangs,
-                    4 => BackendFault::CutsStreams,
-                    5 => BackendFault::ExtraAnswers,
-                    _ => BackendFault::Garbage,
+                    0 => EndpointFault::Sheds,
+                    1 => EndpointFault::Errors,
+                    2 => EndpointFault::LosesAnswers,
+                    3 => EndpointFault::Hangs,
+                    4 => EndpointFault::CutsStreams,
+                    5 => EndpointFault::ExtraAnswers,
+                    _ => EndpointFault::Garbage,
                 },
             ),
-            10 => Self::BackendLink(backend, harm),
-            11 => Self::Drain(backend),
-            12 => Self::Unlist(backend),
+            10 => Self::EndpointLink(endpoint, harm),
+            11 => Self::Drain(endpoint),
+            12 => Self::Unlist(endpoint),
             _ if rng.random() => Self::Configure,
             _ => Self::ForgetHistory,
         }
@@ -133,8 +133,8 @@
             Self::Reload(i) => fleet.gateways[i].signal("HUP"),
             Self::Store(fault) => fleet.store.set_fault(fault),
             Self::StoreLink(i, harm) => fleet.gateways[i].store_link.set_harm(harm),
-            Self::Backend(i, fault) => fleet.backends[i].0.set_fault(fault),
-            Self::BackendLink(i, harm) => fleet.backends[i].1.set_harm(harm),
+            Self::Endpoint(i, fault) => fleet.endpoints[i].0.set_fault(fault),
+            Self::EndpointLink(i, harm) => fleet.endpoints[i].1.set_harm(harm),
             Self::Drain(i) => fleet.list(i, "draining"),
             Self::Unlist(i) => fleet.unlist(i),
             Self::Configure => fleet.configure(&["k1", "k2"]),
@@ -157,8 +157,8 @@
             Self::Pause(i) if !fleet.gateways[i].has_ended() => fleet.gateways[i].signal("CONT"),
             Self::Store(_) => fleet.store.set_fault(StoreFault::None),
             Self::StoreLink(i, _) => fleet.gateways[i].store_link.set_harm(Harm::None),
-            Self::Backend(i, _) => fleet.backends[i].0.set_fault(BackendFault::None),
-            Self::BackendLink(i, _) => fleet.backends[i].1.set_harm(Harm::None),
+            Self::Endpoint(i, _) => fleet.endpoints[i].0.set_fault(EndpointFault::None),
+            Self::EndpointLink(i, _) => fleet.endpoints[i].1.set_harm(Harm::None),
             Self::Drain(i) | Self::Unlist(i) => fleet.list(i, "ready"),
             Self::Pause(_) | Self::Reload(_) | Self::Configure | Self::ForgetHistory => {}
         }
@@ -199,7 +199,7 @@
 }
 
 fn run_seed(binary: &Path, seed: u64, rounds: u64) -> usize {
-    let mut fleet = Fleet::spawn(binary, GATEWAYS, BACKENDS);
+    let mut fleet = Fleet::spawn(binary, GATEWAYS, ENDPOINTS);
     let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
         .build()
@@ -314,10 +314,7 @@
 ) -> Option<ClientConn> {
     record.number.set(record.number.get() + 1);
     let id = format!("a{}", record.number.get());
-    let caller = Caller::new(address, "k1")
-        .with("host", "desk.example")
-        .with("x-baobabvane-attempt-id", &id)
-        .with("x-baobabvane-deadline-remaining", "8000");
+    let caller = Caller::for_attempt(address, "k1", &id, 8_000);
     let began = Instant::now();
     let exchange = async {
         let mut conn = match conn.filter(ClientConn::is_reusable) {
@@ -418,8 +415,8 @@
 /// Compares what callers were told with what endpoints ran.
 fn check_runs(fleet: &Fleet, record: &Record) {
     let mut runs: HashMap<String, u32> = HashMap::new();
-    for (backend, _) in &fleet.backends {
-        for (id, count) in backend.runs() {
+    for (endpoint, _) in &fleet.endpoints {
+        for (id, count) in endpoint.runs() {
             *runs.entry(id).or_default() += count;
         }
     }
--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -16,10 +16,7 @@
 }
 
 async fn request(gateway: &GatewayProcess, key: &str, path: &str) -> Option<Received> {
-    let caller = Caller::new(gateway.callers(), key)
-        .with("host", "desk.example")
-        .with("x-baobabvane-attempt-id", "a1")
-        .with("x-baobabvane-deadline-remaining", "5000");
+    let caller = Caller::for_attempt(gateway.callers(), key, "a1", 5_000);
     caller.send(Method::POST, path, "body").await.ok()
 }
 
@@ -53,7 +50,7 @@
         until_status(gateway, "k1", "/posting/1", StatusCode::OK).await;
         let answer = request(gateway, "k1", "/read/1").await.expect("an answer");
         assert_eq!(&answer.body[..], b"answer a1");
-        assert_eq!(answer.header("x-baobabvane-response-signature"), "s");
+        assert_eq!(answer.signature(), "s");
         let stream = request(gateway, "k1", "/stream/1").await.expect("an answer");
         assert!(stream.body.ends_with(b"id: 12\ndata: a1\n\n"), "{:?}", stream.body);
         assert_eq!(status(gateway, "k1", "/none/1").await, Some(StatusCode::NOT_FOUND));
@@ -100,7 +97,7 @@
         all_until_status(&fleet, "k2", "/read/1", StatusCode::OK).await;
         all_until_status(&fleet, "k1", "/read/1", StatusCode::UNAUTHORIZED).await;
         let began = Instant::now();
-        let knows = |g: &GatewayProcess| g.log().contains("event=endpoint_gone endpoint=b-0");
+        let knows = |g: &GatewayProcess| g.log().contains("event=endpoint_gone endpoint=e-0");
         while !fleet.gateways.iter().all(knows) {
             assert!(began.elapsed() < PATIENCE, "{}", fleet.gateways[0].log());
             sleep(Duration::from_millis(50)).await;
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -291,9 +291,9 @@
             return Err(self.broken(flight, "the request could not be sent", &e));
         }
         let read = self.read_head(&mut link);
-        let head = match self.silence().is_some() {
-            true => timeout(self.silence().unwrap_or_default(), read).await,
-            false => Ok(read.await),
+        let head = match self.silence() {
+            Some(longest) => timeout(longest, read).await,
+            None => Ok(read.await),
         };
         let head = match head {
             Ok(Ok(head)) => head,
@@ -333,11 +333,7 @@
     /// How long an endpoint may be silent before the request is repeated elsewhere.
     pub(super) fn silence(&self) -> Option<Duration> {
         let target = Duration::from_millis(self.incoming.route.target_ms);
-        self.may_repeat_after_this().then(|| (target * SILENT_TARGETS).max(MIN_SILENCE))
-    }
-
-    fn may_repeat_after_this(&self) -> bool {
-        self.incoming.route.may_repeat() && self.sent.get() < self.incoming.route.max_attempts
+        self.may_repeat().then(|| (target * SILENT_TARGETS).max(MIN_SILENCE))
     }
 
     fn is_event_stream(&self, head: &http::Response<()>) -> bool {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -37,6 +37,11 @@
         self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
     }
 
+    /// Returns the signature of an endpoint of the users' platform; empty without one.
+    pub fn signature(&self) -> &str {
+        self.header("x-baobabvane-response-signature")
+    }
+
     /// Returns the verdict that the answer carries.
     pub fn verdict(&self) -> &str {
         self.header("baobabvane-verdict")
@@ -59,6 +64,15 @@
         Self { address, headers }
     }
 
+    /// Makes a caller of the users' platform that sends one attempt to the host of
+    /// [`crate::route_document`] and waits `patience_ms` for its answer.
+    pub fn for_attempt(address: SocketAddr, key: &str, id: &str, patience_ms: u64) -> Self {
+        Self::new(address, key)
+            .with("host", "desk.example")
+            .with("x-baobabvane-attempt-id", id)
+            .with("x-baobabvane-deadline-remaining", &patience_ms.to_string())
+    }
+
     /// Adds a header to all requests.
     pub fn with(mut self, name: &'static str, value: &str) -> Self {
         let value = HeaderValue::try_from(value).expect("a header's value is ASCII");
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/endpoint.rs
@@ -28,7 +28,7 @@
 
 /// What an endpoint does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum BackendFault {
+pub enum EndpointFault {
     /// Nothing.
     #[default]
     None,
@@ -50,23 +50,23 @@
 
 #[derive(Debug, Default)]
 struct Shared {
-    fault: BackendFault,
+    fault: EndpointFault,
     runs: HashMap<String, u32>,
 }
 
 /// A running endpoint.
 #[derive(Debug)]
-pub struct Backend {
+pub struct Endpoint {
     running: Running,
     shared: Arc<Mutex<Shared>>,
 }
 
-impl Backend {
+impl Endpoint {
     /// Starts an endpoint that answers requests which expect `id`.
     pub fn spawn(id: &str) -> Self {
         let shared = Arc::new(Mutex::new(Shared::default()));
         let (handler, id) = (Arc::clone(&shared), id.to_owned());
-        let running = spawn(SocketAddr::from(([127, 0, 0, 1], 0)), move || BackendHandler {
+        let running = spawn(SocketAddr::from(([127, 0, 0, 1], 0)), move || EndpointHandler {
             id,
             shared: handler,
         });
@@ -79,7 +79,7 @@
     }
 
     /// Sets what the endpoint does wrong from now on.
-    pub fn set_fault(&self, fault: BackendFault) {
+    pub fn set_fault(&self, fault: EndpointFault) {
         self.shared.lock().expect("no holder panics").fault = fault;
     }
 
@@ -89,13 +89,13 @@
     }
 }
 
-struct BackendHandler {
+struct EndpointHandler {
     id: String,
     shared: Arc<Mutex<Shared>>,
 }
 
-impl BackendHandler {
-    fn fault(&self) -> BackendFault {
+impl EndpointHandler {
+    fn fault(&self) -> EndpointFault {
         self.shared.lock().expect("no holder panics").fault
     }
 
@@ -110,7 +110,7 @@
         let attempt = header(req, &ATTEMPT);
         for number in after + 1..=STREAM_EVENTS {
             sleep(EVENT_GAP).await;
-            if self.fault() == BackendFault::CutsStreams && number > after + 2 {
+            if self.fault() == EndpointFault::CutsStreams && number > after + 2 {
                 let _ = conn.write_chunk(format!("id: {number}\nda").as_bytes()).await;
                 return false;
             }
@@ -143,7 +143,7 @@
     res
 }
 
-impl Handler for BackendHandler {
+impl Handler for EndpointHandler {
     async fn handle(&self, conn: &mut ServerConn, req: Request) -> bool {
         let attempt = header(&req, &ATTEMPT).to_owned();
         let refused = |status| {
@@ -155,34 +155,34 @@
             return conn.write_response(refused(StatusCode::MISDIRECTED_REQUEST)).await.is_ok();
         }
         let fault = self.fault();
-        if fault == BackendFault::Sheds {
+        if fault == EndpointFault::Sheds {
             return conn.write_response(refused(StatusCode::SERVICE_UNAVAILABLE)).await.is_ok();
         }
         *self.shared.lock().expect("no holder panics").runs.entry(attempt.clone()).or_default() +=
             1;
         match fault {
-            BackendFault::LosesAnswers => return false,
-            BackendFault::Hangs => {
+            EndpointFault::LosesAnswers => return false,
+            EndpointFault::Hangs => {
                 conn.closed().await;
                 return false;
             }
-            BackendFault::Errors => {
+            EndpointFault::Errors => {
                 let status = StatusCode::INTERNAL_SERVER_ERROR;
                 let res = plain(status, signed(&attempt), "error".to_owned());
                 return conn.write_response(res).await.is_ok();
             }
-            BackendFault::Garbage => {
+            EndpointFault::Garbage => {
                 // A chunk outside an answer is no answer.
                 let _ = conn.write_chunk(b"%%%%").await;
                 return false;
             }
-            BackendFault::ExtraAnswers => {
+            EndpointFault::ExtraAnswers => {
                 let other = plain(StatusCode::OK, signed("another"), "another".to_owned());
                 if conn.write_response(other).await.is_err() {
                     return false;
                 }
             }
-            BackendFault::None | BackendFault::Sheds | BackendFault::CutsStreams => {}
+            EndpointFault::None | EndpointFault::Sheds | EndpointFault::CutsStreams => {}
         }
         if req.uri().path().starts_with("/stream") {
             return self.stream(conn, &req, signed(&attempt)).await;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use serde_json::{Value, json};
 
-use crate::{Backend, Proxy, Store, free_addresses, program::Program};
+use crate::{Endpoint, Proxy, Store, free_addresses, program::Program};
 
 /// Time bounds that the settings state, in milliseconds.
 const CONNECTIVITY_MS: u64 = 3_000;
@@ -115,14 +115,14 @@
     /// The gateways.
     pub gateways: Vec<GatewayProcess>,
     /// The endpoints, each with what it is reached through.
-    pub backends: Vec<(Backend, Proxy)>,
+    pub endpoints: Vec<(Endpoint, Proxy)>,
     version: u64,
     folder: PathBuf,
 }
 
 impl Fleet {
-    /// Starts `gateways` processes of a binary before `backends` endpoints of one service.
-    pub fn spawn(binary: &Path, gateways: u8, backends: usize) -> Self {
+    /// Starts `gateways` processes of a binary before `endpoints` endpoints of one service.
+    pub fn spawn(binary: &Path, gateways: u8, endpoints: usize) -> Self {
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let name = format!("baobabvane-{}-{number}", std::process::id());
@@ -130,11 +130,11 @@
         fs::create_dir_all(&folder).expect("the folder for temporary files can be written");
         let store = Store::spawn();
         let mut fleet =
-            Self { store, gateways: Vec::new(), backends: Vec::new(), version: 0, folder };
-        for index in 0..backends {
-            let backend = Backend::spawn(&backend_id(index));
-            let proxy = Proxy::spawn(backend.address());
-            fleet.backends.push((backend, proxy));
+            Self { store, gateways: Vec::new(), endpoints: Vec::new(), version: 0, folder };
+        for index in 0..endpoints {
+            let endpoint = Endpoint::spawn(&endpoint_id(index));
+            let proxy = Proxy::spawn(endpoint.address());
+            fleet.endpoints.push((endpoint, proxy));
             fleet.list(index, "ready");
         }
         fleet.configure(&["k1"]);
@@ -149,19 +149,19 @@
     pub fn list(&self, index: usize, state: &str) {
         let entry = json!({
             "service": "desk",
-            "address": self.backends[index].1.address(),
+            "address": self.endpoints[index].1.address(),
             "availabilityZone": "tanta",
             "version": "v1",
             "slotCount": 16,
             "lifecycleState": state,
             "born": 1,
         });
-        self.store.put("keyed.servers", &backend_id(index), &entry);
+        self.store.put("keyed.servers", &endpoint_id(index), &entry);
     }
 
     /// Removes the entry of an endpoint.
     pub fn unlist(&self, index: usize) {
-        self.store.remove("keyed.servers", &backend_id(index));
+        self.store.remove("keyed.servers", &endpoint_id(index));
     }
 
     /// Puts a new version of the configuration in force, with these keys.
@@ -195,8 +195,8 @@
     }
 }
 
-fn backend_id(index: usize) -> String {
-    format!("b-{index}")
+fn endpoint_id(index: usize) -> String {
+    format!("e-{index}")
 }
 
 /// Returns a route in the operators' form.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,8 +4,8 @@
 //! Each runs on a thread of its own and listens on a free port of the loopback
 //! address; dropping its handle ends it. Faults are set from any thread.
 
-mod backend;
 mod client;
+mod endpoint;
 mod engine;
 mod fleet;
 mod log;
@@ -16,8 +16,8 @@
 mod service;
 mod store;
 
-pub use backend::{Backend, BackendFault, STREAM_EVENTS};
 pub use client::{Caller, Received};
+pub use endpoint::{Endpoint, EndpointFault, STREAM_EVENTS};
 pub use engine::{Engine, EngineFaults, EngineSpeed};
 pub use fleet::{Fleet, GatewayProcess, route_document};
 pub use log::{LogFaults, LogService};
