decide, gateway: shorter ways to the same values

Found by reading the whole change once more: ranks were made distinct by hand, the time to the first token computed the backlog again, a setting that never changes sat in a Cell, a version's maximum was taken in two places, and usage of repeats was filtered twice.

--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -181,9 +181,7 @@
 
     /// Estimates the time to the first token of a prompt with unread tokens.
     pub(crate) fn first_token_ms(&self, unread_tokens: u32) -> Millis {
-        let ahead = f64::from(self.unread_tokens) + f64::from(self.elsewhere.unread_tokens);
-        let tokens = ahead + f64::from(unread_tokens);
-        self.base_ms.get() + tokens * self.prefill_ms.get()
+        self.base_ms.get() + self.backlog_ms(unread_tokens)
     }
 
     /// Estimates how long the endpoint reads before all prompts are read.
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -122,11 +122,9 @@
     /// Lists the tiers that have waiting requests, most urgent first.
     pub(crate) fn ranks(&self) -> impl DoubleEndedIterator<Item = Rank> {
         let taken = self.lines.iter().filter(|(_, line)| line.len > 0);
-        let ranks: SmallVec<[Rank; 8]> = taken.map(|(line, _)| line.rank).collect();
-        let is_first = |i: usize| i == 0 || ranks[i - 1] != ranks[i];
-        let distinct: SmallVec<[Rank; 8]> =
-            (0..ranks.len()).filter(|i| is_first(*i)).map(|i| ranks[i]).collect();
-        distinct.into_iter()
+        let mut ranks: SmallVec<[Rank; 8]> = taken.map(|(line, _)| line.rank).collect();
+        ranks.dedup();
+        ranks.into_iter()
     }
 
     pub(crate) fn tier_len(&self, rank: Rank) -> u32 {
--- a/crates/gateway/src/caller/admission.rs
+++ b/crates/gateway/src/caller/admission.rs
@@ -84,7 +84,7 @@
     };
     // A refusal that the caller must not repeat needs a configuration that is surely in force.
     let final_refusal =
-        |status, reason| match cx.knowledge.is_confirmed_within(cx.max_configuration_age.get()) {
+        |status, reason| match cx.knowledge.is_confirmed_within(cx.max_configuration_age) {
             true => refusal(status, reason),
             false => Refusal {
                 retry_after: Some(UNCONFIGURED_RETRY),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,7 +20,7 @@
     pub(crate) scheduler: Mailbox<ToScheduler>,
     pub(crate) links: Links,
     /// How old the word on the configuration may be for a refusal that rests on it.
-    pub(crate) max_configuration_age: Cell<Duration>,
+    pub(crate) max_configuration_age: Duration,
     /// The request to stop, once it was made.
     pub(crate) drain: Drain,
     /// Requests that are being answered.
@@ -43,7 +43,7 @@
             knowledge,
             scheduler,
             links: Links::default(),
-            max_configuration_age: Cell::new(max_configuration_age),
+            max_configuration_age,
             drain: Drain::default(),
             active: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -154,7 +154,7 @@
 
     pub(crate) fn list(&self, endpoints: EndpointList, version: u64) {
         self.has_endpoints.set(true);
-        self.endpoints_version.set(self.endpoints_version.get().max(version));
+        self.read_up_to(version);
         self.scheduler.send(ToScheduler::Listed(endpoints));
     }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -194,7 +194,6 @@
             return;
         }
         let Order { ticket, pool, descriptor, usage, .. } = order;
-        let usage = usage.filter(|_| !order.is_repeat);
         self.asked.insert(ticket, Asked { pool: Rc::clone(&pool), usage, reply: Some(reply) });
         let mut descriptor = descriptor;
         // The caller counts from the offer, the core from its own start.
