gateway: an instance reaches the store when it reads all of its topics

Cause: the two instances first by address had been cut off from the store. The time at which an instance reached the store was noted for the operators' topic alone, so it counted as a watcher of both, and two such instances leave nobody to watch the endpoints.

Change: an instance says that it reaches the store only if it reads both topics.

Test: feed::tests::an_instance_reaches_the_store_when_it_reads_all_topics; it fails without.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -55,13 +55,13 @@
     pub fn configuration_confirmed(&self) {
         let now = Some(Instant::now());
         self.knowledge.confirmed_at.set(now);
-        self.knowledge.reached_at.set(now);
+        self.knowledge.reached.configuration.set(now);
     }
 
     /// This instance does not reach the store any more; others are told at once, so that
     /// they ask in its place.
     pub fn store_lost(&self) {
-        self.knowledge.reached_at.set(None);
+        self.knowledge.reached.lose();
     }
 
     /// Discovery lists an endpoint, or its entry changed.
@@ -100,6 +100,7 @@
 
     /// Discovery answered.
     pub fn discovery_answers(&self) {
+        self.knowledge.reached.endpoints.set(Some(Instant::now()));
         self.scheduler.send(ToScheduler::SourceAnswers);
     }
 
@@ -162,3 +163,24 @@
         self.scheduler.send(ToScheduler::Budget(budget));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_instance_reaches_the_store_when_it_reads_all_topics() {
+        let (scheduler, _scheduler_rx) = Mailbox::new();
+        let (peers, _peers_rx) = Mailbox::new();
+        let knowledge = Rc::new(Knowledge::new(scheduler.clone(), Duration::from_secs(4)));
+        let feed = Feed { knowledge: Rc::clone(&knowledge), scheduler, peers };
+        feed.configuration_confirmed();
+        assert_eq!(knowledge.reached_age_ms(), None);
+        feed.discovery_answers();
+        assert!(knowledge.reached_age_ms().is_some());
+        // After an outage one topic can be back long before the other.
+        feed.store_lost();
+        feed.configuration_confirmed();
+        assert_eq!(knowledge.reached_age_ms(), None);
+    }
+}
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -38,8 +38,8 @@
     table: RefCell<Rc<RouteTable>>,
     /// When the source of the configuration last said that it is the newest.
     pub(crate) confirmed_at: Cell<Option<Instant>>,
-    /// When this instance itself last reached the store.
-    pub(crate) reached_at: Cell<Option<Instant>>,
+    /// When this instance itself last read each topic of the store.
+    pub(crate) reached: Reached,
     pub(crate) endpoints_version: Cell<u64>,
     has_endpoints: Cell<bool>,
     /// Entries of endpoints lapse when the store is away for this long.
@@ -52,13 +52,29 @@
     scheduler: Mailbox<ToScheduler>,
 }
 
+/// When each topic of the store was last read. The other instances rely on one that reads
+/// all of them; to have reached the store for one says nothing of the other.
+#[derive(Debug, Default)]
+pub(crate) struct Reached {
+    pub(crate) configuration: Cell<Option<Instant>>,
+    pub(crate) endpoints: Cell<Option<Instant>>,
+}
+
+impl Reached {
+    /// Forgets both, as the store cannot be reached.
+    pub(crate) fn lose(&self) {
+        self.configuration.set(None);
+        self.endpoints.set(None);
+    }
+}
+
 impl Knowledge {
     pub(crate) fn new(scheduler: Mailbox<ToScheduler>, lapse: Duration) -> Self {
         Self {
             configuration: RefCell::default(),
             table: RefCell::default(),
             confirmed_at: Cell::new(None),
-            reached_at: Cell::new(None),
+            reached: Reached::default(),
             endpoints_version: Cell::new(0),
             lapse,
             has_endpoints: Cell::new(false),
@@ -123,9 +139,11 @@
         self.confirmed_at.get().map(age_ms)
     }
 
-    /// Returns how long ago this instance itself reached the store, in milliseconds.
+    /// Returns how long ago this instance itself reached the store for all that it has to
+    /// know, in milliseconds.
     pub(crate) fn reached_age_ms(&self) -> Option<u64> {
-        self.reached_at.get().map(age_ms)
+        let Reached { configuration, endpoints } = &self.reached;
+        configuration.get().zip(endpoints.get()).map(|(a, b)| age_ms(a.min(b)))
     }
 
     /// Takes over a configuration unless it is older than the one in force.
