decide: free places are rationed among schedulers that hear of each other late

All instances see the same free place in the same round of heartbeats and take it. Ruled out: the age of the news alone.

Change: beyond its own share of the pool a scheduler takes free places by a draw, renewed with each round of heartbeats; a place that falls free at home is taken at once; the first 0.6 of an endpoint's slots are free to all. As many requests more than slots are sent as fall free before others hear of them: the age of their words over the time that a request takes. Requests of streams are refused when they cannot begin before the caller leaves, by the platform's own rule, and not held until then.

--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -46,6 +46,8 @@
     pub(crate) now: Millis,
     /// Time to read a token, on average over the pool.
     pub(crate) pool_prefill_ms: Millis,
+    /// Whether this scheduler has its share of the pool already.
+    pub(crate) has_its_share: bool,
 }
 
 /// A choice together with what the endpoint has to be told to expect.
@@ -77,7 +79,11 @@
         let most = if req.goal.is_some() { MAX_LOOKED_AT_FOR_GOAL } else { MAX_LOOKED_AT };
         for key in near.chain(others) {
             let Some(endpoint) = self.endpoints.get(key) else { continue };
-            if endpoint.free(self.now) == 0 || self.is_avoided(req, key) {
+            let free = match self.has_its_share {
+                true => endpoint.claimable(self.now),
+                false => endpoint.free(self.now),
+            };
+            if free == 0 || self.is_avoided(req, key) {
                 continue;
             }
             let blocks = holders.iter().find(|h| h.endpoint == key).map_or(0, |h| h.blocks);
@@ -121,7 +127,9 @@
         let first_token_ms = endpoint.first_token_ms(unread_tokens);
         if let Some(goal) = req.goal {
             // Where it could not end in time even if the estimates hold, it had better wait.
-            if self.now + first_token_ms + write > req.deadline && endpoint.in_flight() > 0 {
+            let is_late = self.now + first_token_ms + write > req.deadline
+                || self.now + first_token_ms > goal.left_by;
+            if is_late && endpoint.in_flight() > 0 {
                 return None;
             }
             let score = self.goal_score(req, goal, endpoint, unread_tokens, write);
@@ -255,6 +263,11 @@
         Self { rng: SmallRng::seed_from_u64(seed), turn: 0 }
     }
 
+    /// Draws a number out of 0 to 1.
+    pub(crate) fn unit(&mut self) -> f64 {
+        self.rng.random()
+    }
+
     fn below(&mut self, len: usize) -> Option<usize> {
         (len > 0).then(|| self.rng.random_range(0..len))
     }
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -35,6 +35,8 @@
 const SHORT_ANSWER: f64 = 0.5;
 const CAPACITY_WINDOW_MS: Millis = 2_000.0;
 const FLOOR_WINDOW_MS: Millis = 5_000.0;
+/// How long a request is at an endpoint, before anything is learned.
+const USUAL_DURATION_MS: Millis = 1_000.0;
 /// What little use of the pool says of its capacity under load.
 const IDLE_CAPACITY_SHARE: f64 = 0.5;
 
@@ -73,6 +75,11 @@
     dispatched: Rate,
     dispatched_by_tier: Vec<Rate>,
     neighbour_room: u32,
+    /// The part of the pool that is this scheduler's own.
+    share: f64,
+    others_age_ms: Millis,
+    claimed_at: Millis,
+    duration_ms: Average,
     actions: VecDeque<Action>,
 }
 
@@ -91,13 +98,17 @@
             budget: RetryBudget::new(),
             draw: Draw::new(policy.seed),
             answers: FxHashMap::default(),
-            base_ms: Average::new(Speed::default().base_ms, 0.05),
-            prefill_ms: Average::new(Speed::default().prefill_ms, 0.05),
-            decode_ms: Average::new(Speed::default().decode_ms, 0.05),
+            base_ms: Average::unknown(Speed::default().base_ms, 0.05),
+            prefill_ms: Average::unknown(Speed::default().prefill_ms, 0.05),
+            decode_ms: Average::unknown(Speed::default().decode_ms, 0.05),
             cost_per_slot_ms: Average::new(1.0, 0.02),
             dispatched: Rate::new(CAPACITY_WINDOW_MS),
             dispatched_by_tier: Vec::new(),
             neighbour_room: 0,
+            share: 1.0,
+            others_age_ms: 0.0,
+            claimed_at: 0.0,
+            duration_ms: Average::new(USUAL_DURATION_MS, 0.02),
             actions: VecDeque::new(),
             policy,
         }
@@ -134,6 +145,10 @@
             }
             Event::CacheStored(key, blocks) => self.prefixes.store(key, &blocks),
             Event::CacheDropped(key, blocks) => self.prefixes.drop_blocks(key, &blocks),
+            Event::Others { share, age_ms } => {
+                self.share = share;
+                self.others_age_ms = age_ms;
+            }
             Event::NeighbourRoom(room) => self.neighbour_room = room,
             Event::Tick => self.tick(),
         }
@@ -178,7 +193,7 @@
 
     fn offer(&mut self, ticket: Ticket, req: Descriptor) {
         let rank = req.rank;
-        self.shedder.offered(rank, req.deadline - self.now);
+        self.shedder.offered(rank, req.patience_ends() - self.now);
         let waiting = self.estimate(req);
         if !self.may_serve_soon() {
             return self.refuse(ticket, rank, self.now, Refusal::NoEndpoint);
@@ -208,28 +223,34 @@
         let cost = base + prefill + write / DECODE_BATCH;
         // A cached prefix may save nearly all of the reading.
         let read = if req.prefix.is_empty() { prefill } else { 0.0 };
-        let needed = match req.goal {
-            Some(_) => self.least_time(&req, answer),
-            None => base + read + write * SHORT_ANSWER,
+        let by_estimates = match req.goal {
+            Some(goal) => {
+                let (first_token, whole) = self.least_times(&req, answer);
+                (req.deadline - whole).min(goal.left_by - first_token)
+            }
+            None => req.deadline - (base + read + write * SHORT_ANSWER),
         };
         let latest_start = match self.prefill_ms.is_learned() {
-            true => req.deadline - needed,
+            true => by_estimates,
             // Before anything is learned, the estimates say nothing of this pool.
-            false => req.deadline,
+            false => req.patience_ends(),
         };
         Waiting { descriptor: req, since: self.now, cost, latest_start, is_late: false }
     }
 
-    /// Estimates the time that the request needs at the endpoint that is fastest for it.
-    fn least_time(&self, req: &Descriptor, answer: f64) -> Millis {
-        let needed = self.endpoints.values().filter(|e| !e.leaving).map(|e| {
+    /// Estimates the least times that the request needs to its first token and as a whole,
+    /// each at the endpoint that is fastest for it.
+    fn least_times(&self, req: &Descriptor, answer: f64) -> (Millis, Millis) {
+        let endpoints = self.endpoints.values().filter(|e| !e.leaving);
+        endpoints.fold((f64::INFINITY, f64::INFINITY), |(first_token, whole), e| {
             let read = match req.prefix.is_empty() {
                 true => f64::from(req.prompt_tokens) * e.prefill_ms(),
                 false => 0.0,
             };
-            e.base_ms() + read + answer * e.idle_decode_ms() * SHORT_ANSWER
-        });
-        needed.fold(f64::INFINITY, f64::min)
+            let first = e.base_ms() + read;
+            let write = answer * e.idle_decode_ms() * SHORT_ANSWER;
+            (first_token.min(first), whole.min(first + write))
+        })
     }
 
     fn answer_tokens(&self, req: &Descriptor) -> f64 {
@@ -320,9 +341,17 @@
             ready: &self.ready,
             now: self.now,
             pool_prefill_ms: self.prefill_ms.get(),
+            has_its_share: self.has_its_share(),
         }
     }
 
+    /// Says whether this scheduler has in flight what is its part of the pool; what it
+    /// takes beyond that, others may be taking at the same moment.
+    fn has_its_share(&self) -> bool {
+        let own = f64::from(self.slots()) * self.share;
+        self.flights.len() as f64 + 1.0 > own.max(1.0)
+    }
+
     fn shed(&mut self) {
         if !self.policy.shedding {
             return;
--- a/crates/decide/src/core/endpoints.rs
+++ b/crates/decide/src/core/endpoints.rs
@@ -6,6 +6,12 @@
     event::{EndpointKey, EndpointSpec, Millis, Refusal},
 };
 
+/// Places beyond the own share are drawn anew after this time, in which schedulers hear
+/// what the others have taken: the interval of their heartbeats.
+const CLAIM_INTERVAL_MS: Millis = 100.0;
+/// A slot that falls free stays empty until schedulers have heard of it, a part of the
+/// time that a request takes; as many requests more are sent, up to this part of the slots.
+const MAX_SPARE: f64 = 0.5;
 /// A request waits for endpoints whose breakers let one through within this time.
 const MAX_OPEN_WAIT_MS: Millis = 1_000.0;
 
@@ -69,7 +75,16 @@
                 endpoint.presume_read(self.now, &mut flight.sent);
             }
         }
+        let claims_anew = self.now - self.claimed_at >= CLAIM_INTERVAL_MS;
+        if claims_anew {
+            self.claimed_at = self.now;
+        }
+        let spare = (self.others_age_ms / self.duration_ms.get()).min(MAX_SPARE);
         for (key, endpoint) in &mut self.endpoints {
+            if claims_anew {
+                endpoint.set_spare(spare);
+                endpoint.claim(self.now, self.share, self.draw.unit());
+            }
             if self.policy.breaker && endpoint.is_silent(self.now) {
                 endpoint.breaker.open(self.now);
                 endpoint.hear(self.now);
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -22,6 +22,9 @@
 /// A report's word on others' requests halves in this time.
 const REPORT_HALF_LIFE_MS: Millis = 5_000.0;
 
+/// The part of an endpoint's slots that others may be taking before they are heard.
+const CONTESTED: f64 = 0.4;
+
 /// A request at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sent {
@@ -52,6 +55,17 @@
     pub(crate) deadline: Millis,
 }
 
+/// What an answer taught on its endpoint's speed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Sample {
+    /// Time to the first token of a prompt that is read in no time.
+    Base(Millis),
+    /// Time to read a token of the prompt.
+    Prefill(Millis),
+    /// Time to write a token of the answer.
+    Decode(Millis),
+}
+
 /// State and estimates of an endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -74,6 +88,10 @@
     foreign: f64,
     foreign_at: Millis,
     elsewhere: Elsewhere,
+    /// Places that may be taken before others' loads are known anew.
+    claims: u32,
+    /// Requests beyond the slots that it may have, as a part of them.
+    spare: f64,
     peaks: Peaks,
 }
 
@@ -123,6 +141,8 @@
             foreign: 0.0,
             foreign_at: now,
             elsewhere: Elsewhere::default(),
+            claims: 0,
+            spare: 0.0,
             peaks: Peaks::default(),
         }
     }
@@ -149,6 +169,7 @@
             return 0;
         }
         let limit = if self.adaptive { self.limit.get() } else { self.slots };
+        let limit = limit + (f64::from(limit) * self.spare).round() as u32;
         let age = now - self.foreign_at;
         let foreign = self.foreign * (-age / REPORT_HALF_LIFE_MS).exp2();
         // What a report leaves is a guess; what others say of themselves is not.
@@ -156,6 +177,26 @@
         by_report.min(limit.saturating_sub(self.elsewhere.requests))
     }
 
+    /// Returns how many more requests may be sent now by a scheduler that has its share of
+    /// the pool already.
+    pub(crate) fn claimable(&self, now: Millis) -> u32 {
+        self.free(now).min(self.claims)
+    }
+
+    /// Sets how many requests beyond the slots wait in the endpoint, as a part of them, so
+    /// that the next one is there when a slot falls free.
+    pub(crate) fn set_spare(&mut self, spare: f64) {
+        self.spare = spare;
+    }
+
+    /// Sets anew how many places may be taken until others are heard again; `draw` is
+    /// out of 0 to 1 and decides on a broken number.
+    pub(crate) fn claim(&mut self, now: Millis, share: f64, draw: f64) {
+        let free = f64::from(self.free(now));
+        let contested = free.min((f64::from(self.slots) * CONTESTED).ceil());
+        self.claims = (free - contested + contested * share + draw) as u32;
+    }
+
     /// Takes over what other schedulers have at the endpoint now.
     pub(crate) fn set_elsewhere(&mut self, elsewhere: Elsewhere) {
         self.elsewhere = elsewhere;
@@ -228,6 +269,7 @@
             self.heard_at = now;
         }
         self.in_flight += 1;
+        self.claims = self.claims.saturating_sub(1);
         let sent = Sent {
             at: now,
             expected_ms: self.first_token_ms(order.unread_tokens),
@@ -250,9 +292,10 @@
         sent
     }
 
-    pub(crate) fn first_token(&mut self, now: Millis, sent: &mut Sent) {
+    /// Notes a first token and returns what it taught.
+    pub(crate) fn first_token(&mut self, now: Millis, sent: &mut Sent) -> Option<Sample> {
         if sent.first_token_at.is_some() {
-            return;
+            return None;
         }
         sent.first_token_at = Some(now);
         self.finish_prefill(sent);
@@ -261,10 +304,16 @@
         self.breaker.succeeded();
         let seen = now - sent.at;
         self.limit.observe(now, sent.expected_ms, seen, self.in_flight);
-        self.learn_first_token(sent, seen);
+        Some(self.learn_first_token(sent, seen))
     }
 
-    pub(crate) fn finish(&mut self, now: Millis, sent: &mut Sent, answer_tokens: u32) {
+    /// Notes the end of a whole answer and returns what it taught.
+    pub(crate) fn finish(
+        &mut self,
+        now: Millis,
+        sent: &mut Sent,
+        answer_tokens: u32,
+    ) -> Option<Sample> {
         let in_flight = self.in_flight + self.elsewhere.requests;
         let mean_in_flight = f64::from(sent.in_flight + in_flight) / 2.0;
         self.release(sent);
@@ -273,16 +322,17 @@
         if is_tight(now, sent) {
             self.limit.was_tight(now);
         }
-        let Some(first) = sent.first_token_at else { return };
-        if answer_tokens >= MIN_DECODE_SAMPLE_TOKENS {
-            let ms = (now - first) / f64::from(answer_tokens);
-            self.decode_ms.add(mean_in_flight, ms);
-        }
+        let first = sent.first_token_at.filter(|_| answer_tokens >= MIN_DECODE_SAMPLE_TOKENS)?;
+        let ms = (now - first) / f64::from(answer_tokens);
+        self.decode_ms.add(mean_in_flight, ms);
+        Some(Sample::Decode(ms))
     }
 
     /// Takes back a request that ended without a whole answer.
     pub(crate) fn release(&mut self, sent: &mut Sent) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        // No other scheduler has heard of this place yet.
+        self.claims += 1;
         self.longs = self.longs.saturating_sub(u32::from(sent.is_long));
         self.finish_prefill(sent);
         if sent.first_token_at.is_none() {
@@ -322,14 +372,16 @@
         self.long_prefills = self.long_prefills.saturating_sub(u32::from(sent.long_prefill));
     }
 
-    fn learn_first_token(&mut self, sent: &Sent, seen: Millis) {
+    fn learn_first_token(&mut self, sent: &Sent, seen: Millis) -> Sample {
         let tokens = f64::from(sent.unread_tokens + sent.ahead_tokens);
         if sent.unread_tokens + sent.ahead_tokens < SHORT_PROMPT_TOKENS {
-            let base = seen - tokens * self.prefill_ms.get();
-            self.base_ms.add(base.max(0.1));
+            let base = (seen - tokens * self.prefill_ms.get()).max(0.1);
+            self.base_ms.add(base);
+            Sample::Base(base)
         } else {
-            let rate = (seen - self.base_ms.get()) / tokens;
-            self.prefill_ms.add(rate.max(0.001));
+            let rate = ((seen - self.base_ms.get()) / tokens).max(0.001);
+            self.prefill_ms.add(rate);
+            Sample::Prefill(rate)
         }
     }
 }
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -59,6 +59,13 @@
     pub failed_at: FailedAt,
 }
 
+impl Descriptor {
+    /// Returns when the caller leaves if no token has come.
+    pub(crate) fn patience_ends(&self) -> Millis {
+        self.goal.map_or(self.deadline, |goal| goal.left_by.min(self.deadline))
+    }
+}
+
 /// What makes an answer timely.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Goal {
@@ -66,6 +73,8 @@
     pub first_token_by: Millis,
     /// The longest pause between pieces of the answer.
     pub max_gap_ms: Millis,
+    /// When the caller leaves if nothing has come.
+    pub left_by: Millis,
 }
 
 /// Endpoints at which a request has failed.
@@ -157,6 +166,13 @@
     Reported(EndpointKey, Report),
     /// Other schedulers said what they have at an endpoint.
     Shared(EndpointKey, Elsewhere),
+    /// There are other schedulers.
+    Others {
+        /// The part of the pool that this scheduler may take for its own, 0 to 1.
+        share: f64,
+        /// How old what the others said of their loads is on average.
+        age_ms: Millis,
+    },
     /// An endpoint's cache now holds blocks; late and with gaps.
     CacheStored(EndpointKey, PrefixBlocks),
     /// An endpoint's cache dropped blocks; late and with gaps.
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -353,7 +353,8 @@
     fn a_request_that_missed_its_goal_waits_behind_those_that_did_not() {
         let mut queue = Queue::new(true);
         for (ticket, first_token_by) in [(1, 100.0), (2, 900.0)] {
-            let goal = Some(crate::event::Goal { first_token_by, max_gap_ms: 500.0 });
+            let goal =
+                Some(crate::event::Goal { first_token_by, max_gap_ms: 500.0, left_by: 2_000.0 });
             push(&mut queue, ticket, 1, 10.0);
             let mut waiting = queue.remove(Ticket(ticket)).unwrap();
             waiting.descriptor.goal = goal;
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -251,9 +251,11 @@
     fn goal(&self) -> Goal {
         let target = Duration::from_millis(self.incoming.route.target_ms);
         let left = target.saturating_sub(self.incoming.began.elapsed());
+        let silence = Duration::from_millis(self.incoming.route.max_silence_ms);
         Goal {
             first_token_by: left.as_secs_f64() * 1_000.0,
             max_gap_ms: self.incoming.route.max_gap_ms as f64,
+            left_by: silence.saturating_sub(self.incoming.began.elapsed()).as_secs_f64() * 1_000.0,
         }
     }
 
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -36,6 +36,8 @@
     pub target_ms: u64,
     /// The longest pause between events that is still on time, in milliseconds.
     pub max_gap_ms: u64,
+    /// Callers of a stream leave when nothing came for this long, in milliseconds.
+    pub max_silence_ms: u64,
     /// The tier's rank; 0 is the most urgent.
     pub rank: u8,
     /// The most endpoints that one request may be sent to.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -200,6 +200,7 @@
         descriptor.deadline += now;
         if let Some(goal) = &mut descriptor.goal {
             goal.first_token_by += now;
+            goal.left_by += now;
         }
         self.handle(&pool, Event::Offer(ticket, descriptor));
     }
@@ -356,8 +357,10 @@
         let changes = self.directory.settle(now);
         self.follow(changes);
         self.share_loads(now);
+        let others = self.fleet.others(now);
         let pools: Vec<Rc<str>> = self.pools.keys().cloned().collect();
         for pool in pools {
+            self.handle(&pool, others.clone());
             self.handle(&pool, Event::Tick);
         }
     }
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -1,6 +1,6 @@
 //! What the scheduler knows of the other instances: their load and their use.
 
-use baobabvane_decide::Elsewhere;
+use baobabvane_decide::{Elsewhere, Event};
 use rustc_hash::FxHashMap;
 
 use super::order::{Usage, id_hash};
@@ -33,6 +33,7 @@
     peers: FxHashMap<PeerId, Peer>,
     share: f64,
     known: u32,
+    heard: u32,
     are_loads_changed: bool,
 }
 
@@ -43,6 +44,7 @@
             peers: FxHashMap::default(),
             share: UNJOINED_SHARE,
             known: UNJOINED,
+            heard: 1,
             are_loads_changed: false,
         }
     }
@@ -108,12 +110,18 @@
 
     pub(super) fn set_heard(&mut self, heard: u32, known: u32, now: f64) {
         self.known = known.max(1);
+        self.heard = heard.max(1);
         self.share = f64::from(heard.max(1)) / f64::from(self.known);
         for bucket in self.buckets.values_mut() {
             bucket.set_share(self.share, now);
         }
     }
 
+    /// Returns what the cores need to know of the other instances.
+    pub(super) fn others(&self, now: f64) -> Event {
+        Event::Others { share: 1.0 / f64::from(self.heard), age_ms: self.mean_age_ms(now) }
+    }
+
     /// Returns how many instances the fleet may have.
     pub(super) fn instances(&self) -> u32 {
         self.known
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -11,6 +11,7 @@
         timeout_ms: 1_000,
         target_ms: 300,
         max_gap_ms: 500,
+        max_silence_ms: 4_000,
         rank: 0,
         max_attempts: 2,
         is_public: false,
--- a/crates/gateway/tests/testsuite/stage.rs
+++ b/crates/gateway/tests/testsuite/stage.rs
@@ -37,6 +37,7 @@
         timeout_ms: 20_000,
         target_ms: 300,
         max_gap_ms: 100,
+        max_silence_ms: 4_000,
         rank: 0,
         max_attempts: 3,
         is_public: false,
