gateway: each instance draws its own places; streams say how timely they were

Cause: all instances drew from seed 1, and so the same places; what an answer's time went to could not be read from the logs. The lines at the end of a stream now have first_ms and gap_ms.

--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -251,7 +251,7 @@
     }
 }
 
-/// The seeded draws of the baselines.
+/// The seeded draws.
 #[derive(Debug)]
 pub(crate) struct Draw {
     rng: SmallRng,
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -22,7 +22,8 @@
 /// A report's word on others' requests halves in this time.
 const REPORT_HALF_LIFE_MS: Millis = 5_000.0;
 
-/// The part of an endpoint's slots that others may be taking before they are heard.
+/// The part of an endpoint's slots that others may be taking before they are heard: more
+/// lets places lie idle in calm times, less fills them twice in busy ones (docs/decisions.md).
 const CONTESTED: f64 = 0.4;
 
 /// A request at an endpoint.
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -73,7 +73,7 @@
     pub prefill_price: f64,
     /// Tokens in one block of a prefix.
     pub block_tokens: u32,
-    /// Seed of the baselines that draw at random.
+    /// Seed of what is drawn at random; each scheduler of a pool needs its own.
     pub seed: u64,
 }
 
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -179,12 +179,17 @@
     cause: &str,
 ) {
     exchange.record(event);
+    let pace = events.pace();
+    let first_ms =
+        pace.first_at.map(|at| at.saturating_duration_since(exchange.began()).as_millis());
     exchange.log(
         event,
         format_args!(
-            "route={} endpoint={endpoint} events={} cause={cause:?} ms={} tried={}",
+            "route={} endpoint={endpoint} events={} cause={cause:?} first_ms={first_ms:?} \
+             gap_ms={} ms={} tried={}",
             exchange.incoming.route.name,
             events.passed(),
+            pace.longest_gap.as_millis(),
             exchange.began().elapsed().as_millis(),
             exchange.endpoints_tried()
         ),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,9 @@
 //! Cuts a stream into its events, so that only whole ones are passed on.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
+use monoio::time::Instant;
 
 /// Follows the events of one answer over one or several streams.
 #[derive(Debug, Default)]
@@ -8,6 +11,27 @@
     partial: BytesMut,
     last_id: Option<u64>,
     passed: u32,
+    pace: Pace,
+}
+
+/// How timely the events of an answer were.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    /// When the last event came.
+    last_at: Option<Instant>,
+    /// When the first event came.
+    pub(crate) first_at: Option<Instant>,
+    /// The longest time between two events.
+    pub(crate) longest_gap: Duration,
+}
+
+impl Pace {
+    fn event(&mut self, now: Instant) {
+        self.first_at = self.first_at.or(Some(now));
+        if let Some(last) = self.last_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(now.saturating_duration_since(last));
+        }
+    }
 }
 
 impl EventStream {
@@ -28,6 +52,7 @@
             }
             self.last_id = id.or(self.last_id);
             self.passed += 1;
+            self.pace.event(Instant::now());
             passed.unsplit(event);
         }
         passed.freeze()
@@ -48,6 +73,11 @@
         self.last_id
     }
 
+    /// Returns how timely the events were.
+    pub(crate) fn pace(&self) -> Pace {
+        self.pace
+    }
+
     /// Returns how many events were passed on.
     pub(crate) fn passed(&self) -> u32 {
         self.passed
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -105,7 +105,8 @@
     let (mailbox, rx) = Mailbox::new();
     let scheduler = Scheduler {
         start: Instant::now(),
-        policy: Policy { block_tokens: BLOCK_TOKENS, ..policy },
+        // Instances that draw alike would take the same places.
+        policy: Policy { block_tokens: BLOCK_TOKENS, seed: rand::random(), ..policy },
         configuration: Rc::default(),
         budget: RetryBudget::default(),
         directory: Directory::default(),
