gateway: a stream that breaks late may go on

Cause, found by reading the change: the time by which a caller leaves was counted from the request's beginning also when a stream had to go on elsewhere, so that one that broke after that time was refused an endpoint and cut. Change: on going on, the silence counts from the break. Test: a_stream_that_breaks_late_goes_on_as_its_caller_has_had_events_until_then.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -50,6 +50,8 @@
     pub(super) sent: Cell<u32>,
     pub(super) verdict: Cell<Verdict>,
     failed_at: std::cell::RefCell<FailedAt>,
+    /// Since when the caller waits for the next event.
+    silent_since: Cell<Instant>,
 }
 
 /// What the caller gets from an endpoint.
@@ -88,6 +90,7 @@
     pub(super) fn new(cx: &'a Context, incoming: Incoming) -> Self {
         Self {
             cx,
+            silent_since: Cell::new(incoming.began),
             incoming,
             sent: Cell::new(0),
             verdict: Cell::new(Verdict::NotRun),
@@ -123,6 +126,8 @@
         failed: EndpointKey,
     ) -> Option<Box<Stream>> {
         self.failed_at.borrow_mut().push(failed);
+        // The caller has had events until now, and bears a new silence.
+        self.silent_since.set(Instant::now());
         if !self.may_repeat() {
             return None;
         }
@@ -255,7 +260,8 @@
         Goal {
             first_token_by: left.as_secs_f64() * 1_000.0,
             max_gap_ms: self.incoming.route.max_gap_ms as f64,
-            left_by: silence.saturating_sub(self.incoming.began.elapsed()).as_secs_f64() * 1_000.0,
+            left_by: silence.saturating_sub(self.silent_since.get().elapsed()).as_secs_f64()
+                * 1_000.0,
         }
     }
 
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -70,6 +70,21 @@
     });
 }
 
+#[test]
+fn a_stream_that_breaks_late_goes_on_as_its_caller_has_had_events_until_then() {
+    block_on(async {
+        let scripts = [Script::StalledEvents(2), Script::Events(4)];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let stage = Stage::new(&[&endpoint]).await;
+        // Shorter than the silence after which an endpoint is given up.
+        let mut configuration = stage.configuration.clone();
+        configuration.version += 1;
+        configuration.routes.iter_mut().for_each(|r| r.max_silence_ms = 1_000);
+        stage.feed.configured(configuration);
+        assert_eq!(stream(&stage, "/answers/").await, (events(1, 4), true));
+    });
+}
+
 #[test]
 fn a_caller_may_go_on_after_its_last_event() {
     block_on(async {
