--- a/crates/gateway/src/peer/heartbeat.rs
+++ b/crates/gateway/src/peer/heartbeat.rs
@@ -20,6 +20,17 @@
     pub(super) local: LocalState,
     /// A rotating sample of the peers from which the sender has received heartbeats.
     pub(super) heard_peers: Vec<PeerId>,
+    /// The instances with the lowest addresses among those that the sender knows to reach the
+    /// store. In a large fleet, direct heartbeats from a watcher are rarer than its reads.
+    pub(super) store_readers: Vec<StoreReader>,
+}
+
+/// An instance that reaches the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct StoreReader {
+    pub(super) peer: PeerId,
+    /// The time since it last read all topics of the store, in milliseconds.
+    pub(super) read_age_ms: u64,
 }
 
 /// How current the sender's configuration and endpoint list are.
@@ -63,6 +74,10 @@
             },
             local: LocalState::default(),
             heard_peers: vec![],
+            store_readers: vec![StoreReader {
+                peer: ([127, 0, 0, 1], 7601).into(),
+                read_age_ms: 300,
+            }],
         };
         let key = SharedKey::new("a");
         let mut bytes = heartbeat.encode(&key);
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -7,7 +7,7 @@
 
 use super::{
     ASSUMED_FLEET_SIZE, LocalState, PeerId,
-    heartbeat::{Freshness, Heartbeat},
+    heartbeat::{Freshness, Heartbeat, StoreReader},
 };
 use crate::knowledge::Versions;
 
@@ -26,6 +26,9 @@
 const PEER_EXPIRY_MS: u64 = 30_000;
 /// The maximum number of entries in [`Heartbeat::heard_peers`].
 const MAX_HEARD_PEERS: usize = 4;
+/// The maximum number of entries in [`Heartbeat::store_readers`]; one more than the number of
+/// watchers, so that the next one to take over is known, too.
+const MAX_STORE_READERS: usize = 3;
 
 /// Whether a received heartbeat is newer than the previous ones of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +51,9 @@
     versions: Versions,
     /// The time of its last read of the store, converted to this instance's clock.
     store_read_at_ms: Option<u64>,
+    /// The time at which the peer itself reported that it does not reach the store. Reads before
+    /// it that other instances report no longer count.
+    store_lost_at_ms: Option<u64>,
 }
 
 /// The peers that are known, and the next heartbeat to send.
@@ -96,6 +102,7 @@
                 last_seen_at_ms: now_ms,
                 versions: Versions::default(),
                 store_read_at_ms: None,
+                store_lost_at_ms: None,
             };
             self.peers.entry(*peer).or_insert(peer_state);
         }
@@ -131,12 +138,42 @@
         peer.versions = heartbeat.freshness.versions;
         peer.store_read_at_ms =
             heartbeat.freshness.store_read_age_ms.map(|age| now_ms.saturating_sub(age));
+        if peer.store_read_at_ms.is_none() {
+            peer.store_lost_at_ms = Some(now_ms);
+        }
+        self.record_store_readers(&heartbeat.store_readers, now_ms);
         if heartbeat.is_leaving {
             self.peers.remove(&heartbeat.from);
         }
         Received::New
     }
 
+    /// Records the store reads that another instance reports of its peers.
+    fn record_store_readers(&mut self, readers: &[StoreReader], now_ms: u64) {
+        for reader in readers {
+            self.add_peers(&[reader.peer], now_ms);
+            let read_at_ms = now_ms.saturating_sub(reader.read_age_ms);
+            let Some(peer) = self.peers.get_mut(&reader.peer) else { continue };
+            if peer.store_lost_at_ms.is_none_or(|lost| read_at_ms > lost) {
+                peer.store_read_at_ms = peer.store_read_at_ms.max(Some(read_at_ms));
+            }
+        }
+    }
+
+    /// Returns the first instances, by address, that reach the store, this one included.
+    fn store_readers(&self, own_read_age_ms: Option<u64>, now_ms: u64) -> Vec<StoreReader> {
+        let own = own_read_age_ms.map(|read_age_ms| StoreReader { peer: self.own, read_age_ms });
+        let reaching = self.peers.iter().filter(|(_, p)| self.reaches_store(p, now_ms));
+        let peers = reaching.filter_map(|(id, p)| {
+            let read_age_ms = now_ms.saturating_sub(p.store_read_at_ms?);
+            Some(StoreReader { peer: *id, read_age_ms })
+        });
+        let mut readers: Vec<StoreReader> = peers.take(MAX_STORE_READERS).chain(own).collect();
+        readers.sort_by_key(|reader| reader.peer);
+        readers.truncate(MAX_STORE_READERS);
+        readers
+    }
+
     /// Returns the next heartbeat and its receivers, and removes expired peers.
     pub(super) fn next_heartbeat(
         &mut self,
@@ -158,6 +195,7 @@
             freshness,
             local,
             heard_peers: heard.skip(offset).take(MAX_HEARD_PEERS).collect(),
+            store_readers: self.store_readers(freshness.store_read_age_ms, now_ms),
         };
         (heartbeat, self.next_targets())
     }
@@ -194,12 +232,16 @@
     /// Returns the number of live peers that reach the store and have a lower address than
     /// this instance. All instances with the same view agree on the order.
     pub(super) fn watcher_rank(&self, now_ms: u64) -> u32 {
-        let reaches_store = |p: &Peer| {
-            p.store_read_at_ms
-                .is_some_and(|at| now_ms.saturating_sub(at) < self.max_store_read_age_ms)
-        };
         let before = self.peers.range(..self.own).map(|(_, p)| p);
-        before.filter(|p| self.is_live(p, now_ms) && reaches_store(p)).count() as u32
+        before.filter(|p| self.reaches_store(p, now_ms)).count() as u32
+    }
+
+    fn reaches_store(&self, peer: &Peer, now_ms: u64) -> bool {
+        let has_read = peer
+            .store_read_at_ms
+            .is_some_and(|at| now_ms.saturating_sub(at) < self.max_store_read_age_ms);
+        // A peer that only others have heard counts for as long as its read is recent.
+        has_read && (peer.latest_heartbeat.is_none() || self.is_live(peer, now_ms))
     }
 
     /// Returns a live peer that has a newer version, selected by `draw` in `0.0..1.0`.
@@ -295,6 +337,58 @@
         assert_eq!((c.watcher_rank(700), c.watcher_rank(1_600)), (1, 0));
     }
 
+    #[test]
+    fn store_reads_are_relayed_until_the_reader_reports_a_loss() {
+        let (mut a, mut b, mut c) = (roster(1), roster(2), roster(3));
+        b.receive(&heartbeat(&mut a, 0), 0);
+        // The third instance has heard nothing of the first one but the second one's report.
+        c.receive(&heartbeat(&mut b, 0), 100);
+        assert_eq!(c.watcher_rank(100), 2);
+        assert_eq!((c.watcher_rank(1_550), c.watcher_rank(1_650)), (1, 0));
+        let freshness = Freshness { store_read_age_ms: Some(0), ..Freshness::default() };
+        let before_loss = b.next_heartbeat(LocalState::default(), freshness, 150).0;
+        let lost = a.next_heartbeat(LocalState::default(), Freshness::default(), 0).0;
+        c.receive(&lost, 200);
+        c.receive(&before_loss, 250);
+        assert_eq!(c.watcher_rank(250), 1, "a read before the loss counts again");
+    }
+
+    /// Plays a fleet of 300 instances in six zones in which the first two read the store every
+    /// 1.5 s, and returns the largest number of instances that consider themselves watchers.
+    fn count_watchers_of_a_large_fleet() -> usize {
+        const INSTANCES: u16 = 300;
+        let mut fleet: Vec<Roster> = (1..=INSTANCES)
+            .map(|i| Roster::new(id(i), u32::from(i % 6), i.into(), 3_000))
+            .collect();
+        let all: Vec<PeerId> = (1..=INSTANCES).map(id).collect();
+        fleet.iter_mut().for_each(|r| r.add_registered_peers(&all, 0));
+        let mut most = 0;
+        for round in 0..60_u64 {
+            let now = round * HEARTBEAT_INTERVAL_MS;
+            for i in 0..fleet.len() {
+                let age = if i < 2 { now % 1_500 } else { now };
+                let freshness = Freshness {
+                    store_read_age_ms: Some(age).filter(|age| *age < 3_000),
+                    ..Freshness::default()
+                };
+                let (heartbeat, to) =
+                    fleet[i].next_heartbeat(LocalState::default(), freshness, now);
+                for peer in to {
+                    fleet[usize::from(peer.port()) - 1].receive(&heartbeat, now);
+                }
+            }
+            if now > 4_000 {
+                most = most.max(fleet.iter().filter(|r| r.watcher_rank(now) < 2).count());
+            }
+        }
+        most
+    }
+
+    #[test]
+    fn two_instances_of_a_large_fleet_poll_the_store() {
+        assert_eq!(count_watchers_of_a_large_fleet(), 2);
+    }
+
     #[test]
     fn peer_with_a_newer_configuration_is_ahead() {
         let (mut a, mut b) = (roster(1), roster(2));
