quota: use is counted over the tolerated window, and near the limit admitted by share

And in large fleets, from a simulation with the code that runs (120 instances, six zones): the first request of an organisation at an instance was never charged by the others; all instances sent to the same peers of other zones at the same time, so each heard nothing of them for seconds; use in other zones was known 1.6 s late on average. Change: settings for window, overshoot and tolerance. The bucket has the rate and the capacity that together fill the window, so that a restart stays within it. A sliding window adds up the fleet's use; any instance of a zone reports its zone's use of the organisations that need much of their limit; near the limit a share of the requests is admitted at random, so that the use approaches the limit over four report ages. Totals say what was used before an organisation's pause, so a first total is charged. Rotations of heartbeats start at random. A refusal logs its organisation and inputs.

--- a/crates/gateway/src/caller/failure.rs
+++ b/crates/gateway/src/caller/failure.rs
@@ -49,8 +49,9 @@
     /// Builds the response for the caller, with the request's id.
     pub(super) fn into_response(self, request_id: &HeaderValue, cx: &Context) -> Response {
         let reply = match self {
-            Self::Refused(Refused::Quota { retry_after_ms }) => {
-                let after = Duration::from_secs_f64(retry_after_ms / 1_000.0).max(MIN_RETRY_AFTER);
+            Self::Refused(Refused::Quota(refusal)) => {
+                let after =
+                    Duration::from_secs_f64(refusal.retry_after_ms / 1_000.0).max(MIN_RETRY_AFTER);
                 LocalReply::new(StatusCode::TOO_MANY_REQUESTS, "over the quota")
                     .retry_after(Some(after))
             }
--- a/crates/gateway/src/caller/report.rs
+++ b/crates/gateway/src/caller/report.rs
@@ -94,10 +94,11 @@
 
     pub(super) fn log_failed(&self, failure: &Failure) {
         self.record_outcome(failure.as_str());
+        let organisation = self.request.organisation.as_ref().map_or("-", |o| o.name.as_str());
         self.log(
             "failed",
             format_args!(
-                "route={} outcome={} detail=\"{failure:?}\" ms={} tried={} verdict={}",
+                "route={} organisation={organisation} outcome={} detail=\"{failure:?}\" ms={} tried={} verdict={}",
                 self.request.route.name,
                 failure.as_str(),
                 self.request.received_at.elapsed().as_millis(),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,6 +15,7 @@
     directory::EndpointList,
     knowledge::Knowledge,
     peer::PeersMessage,
+    quota::QuotaTolerance,
     retry::RetryBudget,
     scheduler::SchedulerMessage,
 };
@@ -183,6 +184,11 @@
     pub fn set_retry_budget(&self, budget: RetryBudget) {
         self.scheduler.send(SchedulerMessage::SetRetryBudget(budget));
     }
+
+    /// Sets how far the use of organisations may exceed their quotas.
+    pub fn set_quota_tolerance(&self, tolerance: QuotaTolerance) {
+        self.scheduler.send(SchedulerMessage::SetQuotaTolerance(tolerance));
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,5 +40,6 @@
 pub use daemon::{Bound, Gateway, GatewaySettings, Serving};
 pub use feed::Feed;
 pub use headers::HeaderNames;
+pub use quota::QuotaTolerance;
 pub use ready::RenderMetrics;
 pub use retry::RetryBudget;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -28,6 +28,7 @@
 };
 use crate::{
     knowledge::Knowledge,
+    quota::QuotaTotals,
     scheduler::{SchedulerMessage, id_hash},
 };
 
@@ -59,9 +60,12 @@
 pub(crate) struct LocalState {
     /// What this instance has in flight at each endpoint, by the hash of the endpoint's id.
     pub loads: Vec<(u32, EndpointLoad)>,
-    /// The total of quota units admitted since the start, by the hash of the organisation's
-    /// name. Only totals that changed recently are included.
-    pub admitted: Vec<(u32, f64)>,
+    /// The use of quotas since the start. Only organisations whose totals changed recently are
+    /// included.
+    pub quota_totals: Vec<QuotaTotals>,
+    /// The quota units that the sender's zone used in the last window, by the hash of the
+    /// organisation's name. Only organisations that use much of their quota are included.
+    pub zone_use: Vec<(u32, f64)>,
 }
 
 /// The state that another instance reported.
@@ -69,6 +73,8 @@
 pub(crate) struct PeerState {
     /// The instance that reported it.
     pub peer: PeerId,
+    /// The hash of the name of its availability zone.
+    pub zone: u32,
     /// A random number that the instance draws at each start; incarnations have no order.
     pub incarnation: u64,
     /// The reported state.
@@ -219,6 +225,7 @@
         }
         let state = PeerState {
             peer: heartbeat.from,
+            zone: heartbeat.zone,
             incarnation: heartbeat.incarnation,
             local: heartbeat.local,
         };
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -89,7 +89,9 @@
             knows_all_registered: false,
             max_store_read_age_ms,
             peers: BTreeMap::new(),
-            round: 0,
+            // A random start, as otherwise all instances of a fleet would send to the same peers
+            // at the same time, and each would hear nothing in between.
+            round: incarnation as u32 as usize,
         }
     }
 
@@ -202,7 +204,7 @@
 
     fn next_targets(&mut self) -> Vec<PeerId> {
         let round = self.round;
-        self.round = round.wrapping_add(1);
+        self.round = (round + 1) % (u32::MAX as usize);
         let rotate_peers = |is_same_zone: bool, max_count: usize| {
             let all: Vec<PeerId> = self
                 .peers
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -24,6 +24,7 @@
     configuration::{Configuration, DiscoveredEndpoint, Engine},
     directory::{Directory, EndpointChange, EndpointList},
     peer::{LocalState, PeerState},
+    quota::QuotaTolerance,
     retry::{RetryBudget, RetryWindow},
 };
 
@@ -42,6 +43,8 @@
     Configure(Rc<Configuration>),
     /// Replaces the fleet's retry budget, which applies to each pool.
     SetRetryBudget(RetryBudget),
+    /// Replaces how far the use of organisations may exceed their quotas.
+    SetQuotaTolerance(QuotaTolerance),
     /// Adds an endpoint or updates its entry.
     UpsertEndpoint(DiscoveredEndpoint),
     /// Removes the endpoint with this id, which discovery no longer lists.
@@ -118,7 +121,7 @@
         directory: Directory::default(),
         pools: FxHashMap::default(),
         requests: FxHashMap::default(),
-        fleet: FleetState::default(),
+        fleet: FleetState::new(id_hash(zone)),
         zone: zone.to_owned(),
     };
     monoio::spawn(scheduler.run(rx));
@@ -154,6 +157,9 @@
                 self.configuration = configuration;
             }
             SchedulerMessage::SetRetryBudget(budget) => self.budget = budget,
+            SchedulerMessage::SetQuotaTolerance(tolerance) => {
+                self.fleet.set_quota_tolerance(tolerance, now)
+            }
             SchedulerMessage::UpsertEndpoint(endpoint) => {
                 let changes = self.directory.upsert(endpoint);
                 self.apply_endpoint_changes(changes);
@@ -231,9 +237,7 @@
         }
         pool.retry_window.record_request(&budget, now);
         let Some(quota_charge) = &request.quota_charge else { return Ok(()) };
-        self.fleet
-            .admit(quota_charge, now)
-            .map_err(|retry_after_ms| Refused::Quota { retry_after_ms })
+        self.fleet.admit(quota_charge, rand::random(), now).map_err(Refused::Quota)
     }
 
     fn cancel_placement(&mut self, ticket: Ticket) {
@@ -249,8 +253,9 @@
     }
 
     fn refund_quota(&mut self, request: &TrackedRequest) {
+        let now = self.now();
         if let Some(quota_charge) = &request.quota_charge {
-            self.fleet.refund_quota(quota_charge);
+            self.fleet.refund_quota(quota_charge, now);
         }
     }
 
@@ -399,12 +404,14 @@
         }
     }
 
-    fn local_state(&self) -> LocalState {
+    fn local_state(&mut self) -> LocalState {
+        let now = self.now();
+        let zone_use = self.fleet.zone_use(now);
         let loads =
             self.pools.values().flat_map(|p| p.core.endpoint_loads()).filter_map(|(key, load)| {
                 Some((placement::id_hash(&self.directory.get(key)?.id), load))
             });
-        LocalState { loads: loads.collect(), admitted: self.fleet.recently_admitted(self.now()) }
+        LocalState { loads: loads.collect(), quota_totals: self.fleet.quota_totals(now), zone_use }
     }
 }
 
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -3,35 +3,48 @@
 use baobabvane_decide::{EndpointLoad, Event};
 use rustc_hash::FxHashMap;
 
-use super::placement::{QuotaCharge, id_hash};
+use super::placement::{QuotaCharge, QuotaRefusal, id_hash};
 use crate::{
-    configuration::Organisation,
+    configuration::{Organisation, Quota},
     peer::{ASSUMED_FLEET_SHARE, ASSUMED_FLEET_SIZE, PeerId, PeerState},
-    quota::QuotaBucket,
+    quota::{QuotaBucket, QuotaTolerance, QuotaTotals, QuotaWindow, WindowLimit},
 };
 
 /// The age after which a peer's reported load is discarded, in milliseconds; most of the
 /// requests it covers have ended by then.
 const PEER_LOAD_MAX_AGE_MS: f64 = 1_000.0;
 
-/// How long after a change an organisation's total of admitted units is included in heartbeats,
-/// in milliseconds. In a fleet of a hundred instances, every peer receives several heartbeats in
-/// this time.
-const ADMITTED_REPORT_MS: f64 = 5_000.0;
+/// The share of its part of an organisation's units per window from which on a zone reports its
+/// use to the other zones. A zone that does not report an organisation is assumed to be there.
+const REPORTED_USE_SHARE: f64 = 0.3;
 
 #[derive(Debug)]
 struct Peer {
+    zone: u32,
     incarnation: u64,
     last_heartbeat_ms: f64,
     loads: Vec<(u32, EndpointLoad)>,
-    admitted_totals: FxHashMap<u32, f64>,
+    quota_totals: FxHashMap<u32, QuotaTotals>,
 }
 
-/// The organisations' quota buckets, the state from each peer's latest heartbeat, and the
+/// An organisation's quota and its use.
+#[derive(Clone, Debug)]
+struct OrganisationUse {
+    quota: Quota,
+    bucket: QuotaBucket,
+    window: QuotaWindow,
+}
+
+/// The organisations' use of their quotas, the state from each peer's latest heartbeat, and the
 /// numbers of live and known instances.
 #[derive(Debug)]
 pub(super) struct FleetState {
-    buckets: FxHashMap<u32, QuotaBucket>,
+    /// The hash of the name of this instance's availability zone.
+    zone: u32,
+    tolerance: QuotaTolerance,
+    organisations: FxHashMap<u32, OrganisationUse>,
+    /// The share of the known instances that each zone has, by the hash of its name.
+    zone_shares: FxHashMap<u32, f64>,
     peers: FxHashMap<PeerId, Peer>,
     live_share: f64,
     known_instances: u32,
@@ -39,11 +52,14 @@
     have_loads_changed: bool,
 }
 
-impl Default for FleetState {
+impl FleetState {
     /// Returns the state to assume until the numbers of instances are first received.
-    fn default() -> Self {
+    pub(super) fn new(zone: u32) -> Self {
         Self {
-            buckets: FxHashMap::default(),
+            zone,
+            tolerance: QuotaTolerance::default(),
+            organisations: FxHashMap::default(),
+            zone_shares: FxHashMap::default(),
             peers: FxHashMap::default(),
             live_share: ASSUMED_FLEET_SHARE,
             known_instances: ASSUMED_FLEET_SIZE,
@@ -51,66 +67,133 @@
             have_loads_changed: false,
         }
     }
-}
 
-impl FleetState {
-    /// Applies the organisations' quotas; existing buckets keep their level.
+    /// Applies the organisations' quotas; known organisations keep what they have used.
     pub(super) fn configure(&mut self, organisations: &[Organisation], now: f64) {
         let mut kept = FxHashMap::default();
         for org in organisations {
             let Some(quota) = org.quota else { continue };
             let hash = id_hash(&org.name);
-            let mut bucket =
-                self.buckets.remove(&hash).unwrap_or_else(|| QuotaBucket::new(quota, now));
-            bucket.set_quota(quota, now);
-            bucket.set_live_share(self.live_share, now);
-            kept.insert(hash, bucket);
+            let new = || OrganisationUse {
+                quota,
+                bucket: QuotaBucket::new(quota, self.tolerance, now),
+                window: QuotaWindow::default(),
+            };
+            let mut used = self.organisations.remove(&hash).unwrap_or_else(new);
+            used.quota = quota;
+            used.bucket.set_quota(quota, self.tolerance, now);
+            used.bucket.set_live_share(self.live_share, now);
+            kept.insert(hash, used);
         }
-        self.buckets = kept;
+        self.organisations = kept;
     }
 
-    /// Charges the organisation's quota, or returns the delay before a retry in milliseconds.
-    /// Organisations without a quota are always admitted.
-    pub(super) fn admit(&mut self, charge: &QuotaCharge, now: f64) -> Result<(), f64> {
-        let age_ms = self.mean_age_ms(now);
-        match self.buckets.get_mut(&id_hash(&charge.organisation.name)) {
-            Some(bucket) => bucket.admit(charge.units, now, age_ms),
-            None => Ok(()),
+    /// Sets how far the use of each organisation may exceed its quota.
+    pub(super) fn set_quota_tolerance(&mut self, tolerance: QuotaTolerance, now: f64) {
+        self.tolerance = tolerance;
+        for used in self.organisations.values_mut() {
+            used.bucket.set_quota(used.quota, tolerance, now);
         }
     }
 
-    /// Returns the mean age of the peers' latest heartbeats in milliseconds, ignoring those
-    /// older than [`PEER_LOAD_MAX_AGE_MS`].
-    fn mean_age_ms(&self, now: f64) -> f64 {
-        let ages = self.peers.values().map(|p| (now - p.last_heartbeat_ms).max(0.0));
+    /// Charges the organisation's quota, or returns why it does not admit the request.
+    /// Organisations without a quota are always admitted.
+    ///
+    /// `draw` is a random number in `0.0..1.0`.
+    pub(super) fn admit(
+        &mut self,
+        charge: &QuotaCharge,
+        draw: f64,
+        now: f64,
+    ) -> Result<(), QuotaRefusal> {
+        let zone_age_ms = self.mean_age_ms(now, |p| p.zone == self.zone);
+        let hash = id_hash(&charge.organisation.name);
+        let Some(used) = self.organisations.get_mut(&hash) else { return Ok(()) };
+        used.window.expire_reports(now);
+        let units = charge.units;
+        let window_ms = self.tolerance.window_ms;
+        let units_per_window = self.tolerance.units_per_window(&used.quota);
+        let unreported = self
+            .zone_shares
+            .iter()
+            .filter(|(zone, _)| **zone != self.zone && !used.window.has_report(**zone));
+        let unreported_share: f64 = unreported.map(|(_, share)| share).sum();
+        let limit = WindowLimit {
+            window_ms,
+            units: units_per_window * (1.0 - unreported_share * REPORTED_USE_SHARE),
+            own_zone: self.zone,
+            zone_age_ms,
+        };
+        used.bucket.record_offer(units, now);
+        used.window.add(0.0, units, window_ms, now);
+        let admission = used.window.admission(units, &limit, now);
+        let admitted = match draw < admission.share {
+            true => used.bucket.admit(units, now),
+            false => Err(admission.retry_after_ms),
+        };
+        admitted.map_err(|retry_after_ms| QuotaRefusal {
+            retry_after_ms,
+            units,
+            level: used.bucket.level(),
+            window_use: used.window.fleet_use(self.zone, window_ms, now),
+            units_per_window,
+            admission_share: admission.share,
+            report_age_ms: zone_age_ms,
+        })?;
+        used.window.add(units, 0.0, window_ms, now);
+        Ok(())
+    }
+
+    /// Returns the mean age in milliseconds of the latest heartbeats of the peers that `counts`
+    /// selects, ignoring those older than [`PEER_LOAD_MAX_AGE_MS`].
+    fn mean_age_ms(&self, now: f64, counts: impl Fn(&Peer) -> bool) -> f64 {
+        let peers = self.peers.values().filter(|p| counts(p));
+        let ages = peers.map(|p| (now - p.last_heartbeat_ms).max(0.0));
         let recent = ages.filter(|age| *age < PEER_LOAD_MAX_AGE_MS);
         let (sum, count) = recent.fold((0.0, 0.0), |(sum, count), age| (sum + age, count + 1.0));
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
-    pub(super) fn refund_quota(&mut self, charge: &QuotaCharge) {
-        if let Some(bucket) = self.buckets.get_mut(&id_hash(&charge.organisation.name)) {
-            bucket.refund(charge.units);
+    pub(super) fn refund_quota(&mut self, charge: &QuotaCharge, now: f64) {
+        if let Some(used) = self.organisations.get_mut(&id_hash(&charge.organisation.name)) {
+            used.bucket.refund(charge.units);
+            used.window.add(-charge.units, 0.0, self.tolerance.window_ms, now);
         }
     }
 
     /// Stores a peer's heartbeat and charges what the peer admitted since its previous one.
     pub(super) fn record_heartbeat(&mut self, state: PeerState, now: f64) {
-        let previous =
-            self.peers.remove(&state.peer).filter(|p| p.incarnation == state.incarnation);
-        let mut admitted_totals = previous.map(|p| p.admitted_totals).unwrap_or_default();
-        for (org, total) in state.local.admitted {
-            // The first total from a peer can include hours of past use, so it is not charged.
-            let Some(before) = admitted_totals.insert(org, total) else { continue };
-            if let Some(bucket) = self.buckets.get_mut(&org) {
-                bucket.charge_remote_use(total - before, now);
+        let known = self.peers.remove(&state.peer);
+        // Before this instance is as old as the window, the totals of peers that it has not heard
+        // before can include use of the distant past.
+        let is_new_use = known.is_some() || now > self.tolerance.window_ms;
+        let previous = known.filter(|p| p.incarnation == state.incarnation);
+        let mut quota_totals = previous.map(|p| p.quota_totals).unwrap_or_default();
+        for totals in state.local.quota_totals {
+            let before = match quota_totals.insert(totals.organisation, totals) {
+                Some(before) => (before.admitted, before.offered),
+                None if is_new_use => (totals.admitted_before, totals.offered_before),
+                None => continue,
+            };
+            let Some(used) = self.organisations.get_mut(&totals.organisation) else { continue };
+            let admitted = totals.admitted - before.0;
+            used.bucket.charge_remote_use(admitted, now);
+            if state.zone == self.zone {
+                let offered = totals.offered - before.1;
+                used.window.add(admitted, offered, self.tolerance.window_ms, now);
+            }
+        }
+        for (org, units) in state.local.zone_use {
+            if let Some(used) = self.organisations.get_mut(&org) {
+                used.window.report(state.zone, units, now);
             }
         }
         let peer = Peer {
+            zone: state.zone,
             incarnation: state.incarnation,
             last_heartbeat_ms: now,
             loads: state.local.loads,
-            admitted_totals,
+            quota_totals,
         };
         self.peers.insert(state.peer, peer);
         self.have_loads_changed = true;
@@ -120,8 +203,8 @@
         self.known_instances = known.max(1);
         self.live_instances = live.max(1);
         self.live_share = f64::from(live.max(1)) / f64::from(self.known_instances);
-        for bucket in self.buckets.values_mut() {
-            bucket.set_live_share(self.live_share, now);
+        for used in self.organisations.values_mut() {
+            used.bucket.set_live_share(self.live_share, now);
         }
     }
 
@@ -130,7 +213,7 @@
     pub(super) fn peers_updated_event(&self, now: f64) -> Event {
         Event::PeersUpdated {
             pool_share: 1.0 / f64::from(self.live_instances),
-            mean_load_age_ms: self.mean_age_ms(now),
+            mean_load_age_ms: self.mean_age_ms(now, |_| true),
         }
     }
 
@@ -143,10 +226,10 @@
     /// since the last call.
     pub(super) fn take_changed_loads(&mut self, now: f64) -> Option<FxHashMap<u32, EndpointLoad>> {
         let before = self.peers.len();
-        // A peer's admitted totals are kept when its load is discarded. Without them, what it
+        // A peer's quota totals are kept when its load is discarded. Without them, what it
         // admitted until its next heartbeat would not be charged.
         self.peers.retain(|_, p| {
-            now - p.last_heartbeat_ms < PEER_LOAD_MAX_AGE_MS || !p.admitted_totals.is_empty()
+            now - p.last_heartbeat_ms < PEER_LOAD_MAX_AGE_MS || !p.quota_totals.is_empty()
         });
         for peer in self.peers.values_mut() {
             if now - peer.last_heartbeat_ms >= PEER_LOAD_MAX_AGE_MS && !peer.loads.is_empty() {
@@ -166,12 +249,30 @@
         Some(sums)
     }
 
-    /// Returns the total that this instance admitted for each organisation whose total changed
-    /// recently. Peers have already received the totals of the other organisations.
-    pub(super) fn recently_admitted(&self, now: f64) -> Vec<(u32, f64)> {
-        let recent =
-            self.buckets.iter().filter(|(_, b)| b.has_changed_within(ADMITTED_REPORT_MS, now));
-        recent.map(|(org, b)| (*org, b.admitted_total())).collect()
+    /// Returns this instance's totals for each organisation whose totals changed recently. Peers
+    /// have already received the totals of the other organisations.
+    pub(super) fn quota_totals(&self, now: f64) -> Vec<QuotaTotals> {
+        let used = self.organisations.iter().map(|(org, used)| (*org, &used.bucket));
+        used.filter(|(_, b)| b.is_active(now)).map(|(org, b)| b.totals(org)).collect()
+    }
+
+    /// Returns the use of the last window in this instance's zone, for each organisation that
+    /// uses much of the zone's part of its limit.
+    pub(super) fn zone_use(&mut self, now: f64) -> Vec<(u32, f64)> {
+        let per_instance = 1.0 / f64::from(self.known_instances);
+        self.zone_shares.clear();
+        self.zone_shares.insert(self.zone, per_instance);
+        for peer in self.peers.values() {
+            *self.zone_shares.entry(peer.zone).or_default() += per_instance;
+        }
+        let zone_share = self.zone_shares[&self.zone];
+        let tolerance = self.tolerance;
+        let uses = self.organisations.iter_mut().filter_map(|(org, used)| {
+            let units = used.window.own_zone_use(tolerance.window_ms, now);
+            let part = tolerance.units_per_window(&used.quota) * zone_share.min(1.0);
+            (units > part * REPORTED_USE_SHARE).then_some((*org, units))
+        });
+        uses.collect()
     }
 }
 
@@ -179,6 +280,8 @@
 mod tests {
     use std::rc::Rc;
 
+    use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
     use super::*;
     use crate::{
         configuration::{Quota, QuotaUnit},
@@ -186,8 +289,10 @@
         testing::organisation,
     };
 
+    const ZONE: u32 = 7;
+
     fn fleet_with_two_instances(organisations: &[Organisation]) -> FleetState {
-        let mut fleet = FleetState::default();
+        let mut fleet = FleetState::new(ZONE);
         fleet.configure(organisations, 0.0);
         fleet.set_instance_counts(2, 2, 0.0);
         fleet
@@ -198,9 +303,13 @@
         Organisation { quota: Some(quota), ..organisation("growers", "k1") }
     }
 
-    fn heartbeat(admitted: &[(u32, f64)]) -> PeerState {
-        let local = LocalState { loads: vec![], admitted: admitted.to_vec() };
-        PeerState { peer: ([127, 0, 0, 1], 7600).into(), incarnation: 1, local }
+    fn totals(organisation: u32, admitted: f64) -> QuotaTotals {
+        QuotaTotals { organisation, admitted, offered: admitted, ..QuotaTotals::default() }
+    }
+
+    fn heartbeat(quota_totals: &[QuotaTotals]) -> PeerState {
+        let local = LocalState { quota_totals: quota_totals.to_vec(), ..LocalState::default() };
+        PeerState { peer: ([127, 0, 0, 1], 7600).into(), zone: ZONE, incarnation: 1, local }
     }
 
     #[test]
@@ -209,16 +318,212 @@
         let org = Organisation { quota: Some(rate), ..organisation_with_quota() };
         let mut fleet = fleet_with_two_instances(&[org.clone(), organisation("menders", "k2")]);
         let charge = QuotaCharge { organisation: Rc::new(org), units: 4.0 };
-        assert!(fleet.admit(&charge, 1_000.0).is_ok());
+        assert!(fleet.admit(&charge, 0.5, 1_000.0).is_ok());
         let hash = id_hash("growers");
-        assert_eq!(fleet.recently_admitted(1_000.0), [(hash, 4.0)]);
-        assert_eq!(fleet.recently_admitted(7_000.0), []);
+        assert_eq!(fleet.quota_totals(1_000.0), [totals(hash, 4.0)]);
+        assert_eq!(fleet.quota_totals(7_000.0), []);
         // The first total is not charged; a later increase is charged exactly once.
-        fleet.record_heartbeat(heartbeat(&[(hash, 1_000_000.0)]), 7_000.0);
-        fleet.record_heartbeat(heartbeat(&[(hash, 1_000_010.0)]), 7_000.0);
-        assert!(fleet.admit(&charge, 7_010.0).is_err());
+        fleet.record_heartbeat(heartbeat(&[totals(hash, 1_000_000.0)]), 7_000.0);
+        fleet.record_heartbeat(heartbeat(&[totals(hash, 1_000_010.0)]), 7_000.0);
+        assert!(fleet.admit(&charge, 0.5, 7_010.0).is_err());
         fleet.record_heartbeat(heartbeat(&[]), 7_100.0);
-        fleet.record_heartbeat(heartbeat(&[(hash, 1_000_010.0)]), 8_000.0);
-        assert!(fleet.admit(&charge, 8_500.0).is_ok());
+        fleet.record_heartbeat(heartbeat(&[totals(hash, 1_000_010.0)]), 8_000.0);
+        assert!(fleet.admit(&charge, 0.5, 8_500.0).is_ok());
+    }
+
+    /// A fleet in six zones, in which an instance hears an instance of its zone every 200 ms and
+    /// one of another zone every 3.3 s, as in the largest fleets.
+    struct SimulatedFleet {
+        zones: u32,
+        instances: Vec<FleetState>,
+        tolerance: QuotaTolerance,
+        charge: QuotaCharge,
+        /// The times at which a request was admitted, in milliseconds.
+        admitted_at: Vec<f64>,
+        refused: u32,
+        due: f64,
+        random: SmallRng,
+    }
+
+    impl SimulatedFleet {
+        const ZONES: u32 = 6;
+        const INSTANCES: usize = 120;
+        const OWN_ZONE_FAN_OUT: usize = 10;
+        const OTHER_ZONE_FAN_OUT: usize = 3;
+
+        fn new(units: f64) -> Self {
+            Self::with_zones(Self::INSTANCES, Self::ZONES, units)
+        }
+
+        fn with_zones(instances: usize, zones: u32, units: f64) -> Self {
+            let quota = Quota {
+                unit: QuotaUnit::Tokens { default: 1 },
+                per_s: 400_000.0,
+                burst: 400_000.0,
+            };
+            let org = Organisation { quota: Some(quota), ..organisation("growers", "k1") };
+            let tolerance = QuotaTolerance { window_ms: 8_000.0, overshoot: 0.1, units: 140_000.0 };
+            let instance = |i| {
+                let mut fleet = FleetState::new(i as u32 % zones);
+                fleet.set_quota_tolerance(tolerance, 0.0);
+                fleet.configure(std::slice::from_ref(&org), 0.0);
+                fleet.set_instance_counts(instances as u32, instances as u32, 0.0);
+                fleet
+            };
+            Self {
+                zones,
+                instances: (0..instances).map(instance).collect(),
+                tolerance,
+                charge: QuotaCharge { organisation: Rc::new(org), units },
+                admitted_at: Vec::new(),
+                refused: 0,
+                due: 0.0,
+                random: SmallRng::seed_from_u64(1),
+            }
+        }
+
+        fn zone(&self, instance: usize) -> u32 {
+            instance as u32 % self.zones
+        }
+
+        /// Plays the milliseconds `from..to` under a load of `demand` times the nominal rate.
+        fn play(&mut self, from: u32, to: u32, demand: f64) {
+            for ms in from..to {
+                self.offer(ms, demand);
+                if ms % 100 == 0 {
+                    self.exchange_heartbeats(ms as usize / 100, f64::from(ms));
+                }
+            }
+        }
+
+        /// Sends the requests of one millisecond to random instances.
+        fn offer(&mut self, ms: u32, demand: f64) {
+            self.due += demand * 400.0 / self.charge.units;
+            while self.due >= 1.0 {
+                self.due -= 1.0;
+                let at = self.random.random_range(0..self.instances.len());
+                let draw = self.random.random();
+                match self.instances[at].admit(&self.charge, draw, f64::from(ms)) {
+                    Ok(()) => self.admitted_at.push(f64::from(ms)),
+                    Err(_) => self.refused += 1,
+                }
+            }
+        }
+
+        fn exchange_heartbeats(&mut self, round: usize, now: f64) {
+            for from in 0..self.instances.len() {
+                let others = (0..self.instances.len()).filter(|to| *to != from);
+                let (same, other): (Vec<usize>, Vec<usize>) =
+                    others.partition(|to| self.zone(*to) == self.zone(from));
+                let turn = |all: &[usize], count: usize| -> Vec<usize> {
+                    let first = (round + from * 7_919) * count;
+                    (0..count).map(|i| all[(first + i) % all.len()]).collect()
+                };
+                let mut to = turn(&same, Self::OWN_ZONE_FAN_OUT);
+                to.extend(turn(&other, Self::OTHER_ZONE_FAN_OUT));
+                self.send_heartbeat(from, &to, now);
+            }
+        }
+
+        fn send_heartbeat(&mut self, from: usize, to: &[usize], now: f64) {
+            let local = LocalState {
+                loads: vec![],
+                quota_totals: self.instances[from].quota_totals(now),
+                zone_use: self.instances[from].zone_use(now),
+            };
+            for receiver in to {
+                let state = PeerState {
+                    peer: ([127, 0, 0, 1], from as u16).into(),
+                    zone: self.zone(from),
+                    incarnation: 1,
+                    local: local.clone(),
+                };
+                self.instances[*receiver].record_heartbeat(state, now);
+            }
+        }
+
+        /// Returns the maximum number of units admitted in any window.
+        fn largest_window(&self) -> f64 {
+            let count = |from: f64| {
+                let end = from + self.tolerance.window_ms;
+                self.admitted_at.iter().filter(|at| (from..end).contains(*at)).count()
+            };
+            let most = self.admitted_at.iter().map(|at| count(*at)).max().unwrap_or(0);
+            most as f64 * self.charge.units
+        }
+
+        /// Returns the number of units that the fleet may admit in any window.
+        fn units_per_window(&self) -> f64 {
+            self.tolerance.units_per_window(&self.charge.organisation.quota.unwrap())
+        }
+    }
+
+    /// Simulates a large fleet whose instances receive each other's reports about every
+    /// 600 ms, under a load of `demand` times the organisation's limit. Returns the maximum
+    /// number of units admitted in any 8 s.
+    fn admit_with_delayed_reports(demand: f64, units: f64) -> f64 {
+        const INSTANCES: usize = 68;
+        let mut fleet = SimulatedFleet::with_zones(INSTANCES, 1, units);
+        for ms in 0..13_000_u32 {
+            if ms >= 2_000 {
+                fleet.offer(ms, demand);
+            }
+            // Each instance receives the report of one other instance, in rotation.
+            if ms % 9 == 0 {
+                for to in 0..INSTANCES {
+                    let from = (ms as usize / 9 + to) % INSTANCES;
+                    if from != to {
+                        fleet.send_heartbeat(from, &[to], f64::from(ms));
+                    }
+                }
+            }
+        }
+        fleet.largest_window()
+    }
+
+    #[test]
+    fn delayed_reports_of_other_instances_do_not_exceed_the_limit() {
+        let allowed = (400_000.0 * 8.0 + 400_000.0) * 1.1 + 140_000.0;
+        for demand in [1.5, 6.0] {
+            for units in [3_000.0, 20_000.0] {
+                let admitted = admit_with_delayed_reports(demand, units);
+                assert!(admitted <= allowed, "{demand} {units}: {admitted} of {allowed}");
+                assert!(
+                    admitted >= 400_000.0 * 8.0 * 0.9,
+                    "{demand} {units}: {admitted} is too little"
+                );
+            }
+        }
+    }
+
+    #[test]
+    fn an_organisation_below_its_limit_is_not_throttled() {
+        for units in [3_000.0, 20_000.0] {
+            let admitted = admit_with_delayed_reports(0.8, units);
+            assert!(admitted >= 0.8 * 400_000.0 * 8.0 * 0.98, "{units}: {admitted}");
+        }
+    }
+
+    #[test]
+    fn a_hot_organisation_stays_within_its_quota_in_a_fleet_with_slow_reports() {
+        for demand in [2.0, 4.5, 9.0] {
+            for units in [3_000.0, 20_000.0] {
+                let mut fleet = SimulatedFleet::new(units);
+                fleet.play(0, 10_000, 0.5);
+                fleet.play(10_000, 24_000, demand);
+                let share = fleet.largest_window() / fleet.units_per_window();
+                assert!(share <= 1.0, "{demand} {units}: {share}");
+                assert!(share >= 0.75, "{demand} {units}: {share} is too little");
+            }
+        }
+    }
+
+    #[test]
+    fn demand_that_the_tolerance_covers_is_not_refused() {
+        let mut fleet = SimulatedFleet::new(8_000.0);
+        fleet.play(0, 10_000, 0.5);
+        fleet.play(10_000, 20_000, 0.95);
+        fleet.play(20_000, 20_800, 2.0);
+        assert_eq!(fleet.refused, 0, "of {}", fleet.admitted_at.len());
     }
 }
--- a/crates/gateway/src/scheduler/placement.rs
+++ b/crates/gateway/src/scheduler/placement.rs
@@ -54,14 +54,30 @@
     pub(crate) why: Why,
 }
 
+/// Why a quota does not admit a request, with the inputs of the decision for log lines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct QuotaRefusal {
+    /// The estimated time until the quota admits the request, in milliseconds.
+    pub(crate) retry_after_ms: f64,
+    /// The units of the request.
+    pub(crate) units: f64,
+    /// The units in this instance's bucket; negative if it is in debt.
+    pub(crate) level: f64,
+    /// The known use of the last window in the whole fleet.
+    pub(crate) window_use: f64,
+    /// The number of units that the fleet may admit in any window.
+    pub(crate) units_per_window: f64,
+    /// The share of requests that the window admits at present, 0 to 1.
+    pub(crate) admission_share: f64,
+    /// The mean age of the heartbeats from this zone, in milliseconds.
+    pub(crate) report_age_ms: f64,
+}
+
 /// Why a request was assigned no endpoint; the request was not sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Refused {
     /// The organisation has exceeded its quota.
-    Quota {
-        /// The estimated time until the quota admits the request, in milliseconds.
-        retry_after_ms: f64,
-    },
+    Quota(QuotaRefusal),
     /// This instance's share of the retry budget is used up.
     RetryBudget,
     /// The decision core refused the request; `why` states the inputs of its decision.
@@ -72,7 +88,7 @@
     /// Returns the reason as it appears in log lines, metrics and responses.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
-            Self::Quota { .. } => "quota",
+            Self::Quota(_) => "quota",
             Self::RetryBudget => "retry_budget",
             Self::Core { refusal, .. } => match refusal {
                 Refusal::Load => "load",
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -48,7 +48,9 @@
              contractBounds.connectivityMs={CONNECTIVITY_MS}\n\
              contractBounds.configApplyMs={CONFIG_APPLY_MS}\ncontractBounds.drainTimeoutMs={DRAIN_TIMEOUT_MS}\n\
              contractBounds.gracePeriodS={GRACE_PERIOD_S}\ncontractBounds.retryBudgetRatio=0.2\n\
-             contractBounds.retryWindowS=10\ncontractBounds.retryAllowance=50\n",
+             contractBounds.retryWindowS=10\ncontractBounds.retryAllowance=50\n\
+             contractBounds.quotaIntervalS=8\ncontractBounds.quotaOvershoot=0.1\n\
+             contractBounds.quotaTolerance=140000\n",
             ports[2],
             ports[2],
             store_link.address()
