peers: late heartbeats of an earlier process are ignored

Cause: incarnations have no order, so a late datagram of a process before its restart counted as that of a new one; one that announced its stop removed the live peer. Change: the incarnation that a peer had before is remembered and ignored.

--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -44,6 +44,8 @@
 struct Peer {
     /// The incarnation and counter of the newest heartbeat; `None` before the first one.
     latest_heartbeat: Option<(u64, u64)>,
+    /// The incarnation before the one of the newest heartbeat; its heartbeats may arrive late.
+    earlier_incarnation: Option<u64>,
     is_same_zone: bool,
     /// The time of the newest heartbeat; before the first one, the time at which the peer was
     /// added.
@@ -100,6 +102,7 @@
         for peer in peers.iter().filter(|p| **p != self.own) {
             let peer_state = Peer {
                 latest_heartbeat: None,
+                earlier_incarnation: None,
                 is_same_zone: false,
                 last_seen_at_ms: now_ms,
                 versions: Versions::default(),
@@ -134,6 +137,12 @@
         {
             return Received::Stale;
         }
+        if peer.earlier_incarnation == Some(heartbeat.incarnation) {
+            return Received::Stale;
+        }
+        if !is_same_incarnation {
+            peer.earlier_incarnation = peer.latest_heartbeat.map(|(incarnation, _)| incarnation);
+        }
         peer.latest_heartbeat = Some((heartbeat.incarnation, heartbeat.counter));
         peer.last_seen_at_ms = now_ms;
         peer.is_same_zone = heartbeat.zone == self.zone;
@@ -312,6 +321,19 @@
         assert_eq!(b.receive(&heartbeat(&mut restarted, 0), 0), Received::New);
     }
 
+    #[test]
+    fn late_heartbeat_of_an_earlier_process_changes_nothing() {
+        let (mut a, mut b) = (roster(1), roster(2));
+        b.add_registered_peers(&[], 0);
+        b.receive(&heartbeat(&mut a, 0), 0);
+        a.leave();
+        let leaving = heartbeat(&mut a, 0);
+        let mut restarted = Roster::new(id(1), 1, 99, 1_500);
+        assert_eq!(b.receive(&heartbeat(&mut restarted, 0), 100), Received::New);
+        assert_eq!(b.receive(&leaving, 200), Received::Stale);
+        assert_eq!(b.counts(200), (2, 2));
+    }
+
     #[test]
     fn silent_peer_counts_until_it_expires_and_a_leaving_one_does_not() {
         let (mut a, mut b) = (roster(1), roster(2));
