gateway: answers without end are cut, stops spare new connections, one task may fail

Causes, each shown by a test that failed first (cargo test -p baobabvane-gateway): - an endpoint that drips bytes without completing an event was never silent: silence counted from any byte. It counts from the last complete event now; a stream slower than that in all, but not in its gaps, is not cut. - an event without end was buffered without bound, and searched from its start at each read. Events have a bound of 1 MiB; the search goes on where it ended. - the body of a refusal was read to its end before the next attempt, so a dripped one held the request until its timeout. It is read for 50 ms and 64 KiB at most. - buffered bodies had a bound each (16 MiB), none together. They share 32 MiB now. - a connection accepted just before a planned stop was closed before its first request; it has a second for it now, an idle one 50 ms for a request that crosses the close. Also: a request whose earlier attempt may have run got 503 stopping, which says not run: 502 now. A panic in the task of a caller, a probe or a peer's fetch ended the process: it ends the task. The listeners of peers went in a busy loop while they failed.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -14,9 +14,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use baobabvane_tasks::CountGuard;
+use baobabvane_tasks::{CountGuard, spawn_isolated};
 use baobabvane_wire::{Limits, Request, ServerConn, WireError};
-use monoio::net::{TcpListener, TcpStream};
+use monoio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use self::{
     exchange::{EndpointResponse, Exchange},
@@ -31,6 +34,12 @@
 /// A caller that does not accept a write within this time is treated as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a connection that has carried no request yet stays open when draining begins.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection stays open when draining begins, for a request that was sent before
+/// its caller could see the connection close.
+const CROSSING_REQUEST_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Whether a caller's connection stays open after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionAction {
@@ -43,7 +52,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, Rc::clone(&cx)));
+                spawn_isolated("caller", serve_connection(stream, Rc::clone(&cx)));
             }
             Err(e) => {
                 log::warn!("event=accept_failed error={:?}", e.to_string());
@@ -68,10 +77,12 @@
 async fn serve_connection(stream: TcpStream, cx: Rc<Context>) {
     let _counted = CountGuard::new(&cx.caller_connections);
     let mut conn = ServerConn::new(stream, connection_limits(&cx));
+    let mut is_new = true;
     loop {
-        if !wait_for_request(&cx, &mut conn).await {
+        if !wait_for_request(&cx, &mut conn, is_new).await {
             return;
         }
+        is_new = false;
         match conn.read_request().await {
             Ok(Some(req)) => {
                 if handle_request(&cx, &mut conn, req).await == ConnectionAction::Close {
@@ -93,17 +104,20 @@
 
 /// Waits for the first byte of a request; returns false if the connection is to be closed.
 ///
-/// Connections that wait here when draining begins are closed. A caller whose connection closes
-/// before its request was read can safely send the request to another instance. A connection
-/// that gets here during the drain may still send a request; it is closed after the response.
-async fn wait_for_request(cx: &Context, conn: &mut ServerConn) -> bool {
+/// Idle connections that wait here when draining begins are closed. A caller whose connection
+/// closes before its request was read can safely send the request to another instance. A
+/// connection that has carried no request yet, or gets here during the drain, may still send one;
+/// it is closed after the response.
+async fn wait_for_request(cx: &Context, conn: &mut ServerConn, is_new: bool) -> bool {
     if cx.drain.has_begun() {
         return matches!(conn.wait_for_request().await, Ok(true));
     }
     monoio::select! {
-        arrived = conn.wait_for_request() => matches!(arrived, Ok(true)),
-        () = cx.drain.begun() => false,
+        arrived = conn.wait_for_request() => return matches!(arrived, Ok(true)),
+        () = cx.drain.begun() => {}
     }
+    let last_wait = if is_new { FIRST_REQUEST_TIMEOUT } else { CROSSING_REQUEST_TIMEOUT };
+    matches!(timeout(last_wait, conn.wait_for_request()).await, Ok(Ok(true)))
 }
 
 /// Responds to a malformed, oversized or late request, then closes the connection.
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -10,6 +10,7 @@
 };
 use baobabvane_domain::Verdict;
 use baobabvane_wire::{ClientConn, Response, WireError};
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use monoio::time::{Instant, sleep, timeout};
 
@@ -36,6 +37,12 @@
 const MAX_SKIPPED_RESPONSES: u32 = 3;
 /// Largest response body that is buffered; streams of events are not buffered.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Most bytes of response bodies that are buffered at a time, over all requests.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+/// Largest response body that is read only to keep its connection open.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+/// Longest time for which such a body is read; the request's next attempt waits meanwhile.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 /// Larger ranks are clamped to this one, so that two ranks fit into one `u8`.
 const MAX_RANK: u8 = 15;
 /// Silence timeout of an endpoint, as a multiple of the route's `target_ms`; applies only while
@@ -44,6 +51,32 @@
 /// Lower bound of the silence timeout, for routes with a short target.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The bytes of a response body that is being read; they no longer count once this is dropped.
+struct BufferedBytes<'a> {
+    total: &'a Cell<usize>,
+    own: usize,
+}
+
+impl BufferedBytes<'_> {
+    fn add(&mut self, len: usize) -> Result<(), WireError> {
+        self.own += len;
+        self.total.set(self.total.get() + len);
+        if self.own > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err(WireError::BodyTooLarge { limit: MAX_BUFFERED_RESPONSE_BYTES });
+        }
+        if self.total.get() > MAX_BUFFERED_BYTES {
+            return Err(WireError::BodyTooLarge { limit: MAX_BUFFERED_BYTES });
+        }
+        Ok(())
+    }
+}
+
+impl Drop for BufferedBytes<'_> {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.own);
+    }
+}
+
 /// A caller's request and the state of its attempts at endpoints.
 pub(super) struct Exchange<'a> {
     pub(super) cx: &'a Context,
@@ -186,7 +219,7 @@
             };
             is_retry |= !matches!(failure, AttemptFailure::NotSent);
             if !may_attempt_again {
-                return self.final_result(failure, fallback);
+                return final_result(failure, fallback, self.verdict.get());
             }
             if let AttemptFailure::ErrorResponse(res) = failure {
                 fallback = Some(res);
@@ -194,31 +227,6 @@
         }
     }
 
-    /// Returns what the caller gets after the last attempt failed: an endpoint's 5xx response, if
-    /// there was one, or a failure.
-    fn final_result(
-        &self,
-        failure: AttemptFailure,
-        fallback: Option<Response>,
-    ) -> Result<EndpointResponse, Failure> {
-        let may_have_run = self.verdict.get() != Verdict::NotRun;
-        match (failure, fallback) {
-            (AttemptFailure::ErrorResponse(res), _) => Ok(EndpointResponse::Complete(res)),
-            (_, Some(res)) => Ok(EndpointResponse::Complete(res)),
-            (AttemptFailure::Stopping, _) => Err(Failure::Stopping),
-            (AttemptFailure::MayHaveRun(cause), _) => Err(Failure::MayHaveRun(cause)),
-            (AttemptFailure::Refused(_), _) if may_have_run => {
-                Err(Failure::MayHaveRun("an earlier try failed"))
-            }
-            (AttemptFailure::NotRun(_) | AttemptFailure::NotSent, _) if may_have_run => {
-                Err(Failure::MayHaveRun("an earlier try failed"))
-            }
-            (AttemptFailure::NotRun(cause), _) => Err(Failure::NotRun(cause)),
-            (AttemptFailure::NotSent, _) => Err(Failure::NotRun("no endpoint could be reached")),
-            (AttemptFailure::Refused(refused), _) => Err(Failure::Refused(refused)),
-        }
-    }
-
     /// Asks the scheduler for an endpoint and sends the request to it.
     ///
     /// The quota is charged at the first call; a later one passes `is_retry` or
@@ -412,7 +420,7 @@
                 .send(crate::scheduler::SchedulerMessage::MisdirectedRequest(grant.endpoint));
             return AttemptFailure::NotRun("another endpoint has the address");
         }
-        if upstream.read_body(MAX_BUFFERED_RESPONSE_BYTES).await.is_ok() {
+        if let Ok(Ok(_)) = timeout(DISCARD_TIMEOUT, upstream.read_body(MAX_DISCARDED_BYTES)).await {
             self.cx.endpoint_connections.release(grant.endpoint, upstream, head.headers());
         }
         AttemptFailure::NotRun("the endpoint did not run it")
@@ -425,7 +433,7 @@
             match head.headers().get(&self.cx.header_names.request_id) {
                 Some(id) if *id != self.request.id => {
                     self.log("answer_skipped", format_args!("answers={id:?}"));
-                    upstream.read_body(MAX_BUFFERED_RESPONSE_BYTES).await?;
+                    self.read_body(upstream).await?;
                 }
                 _ => return Ok(head),
             }
@@ -433,6 +441,17 @@
         Err(WireError::Malformed("received only responses to other requests".to_owned()))
     }
 
+    /// Reads a response body within the bounds for one request and for all requests together.
+    async fn read_body(&self, upstream: &mut ClientConn) -> Result<Bytes, WireError> {
+        let mut buffered = BufferedBytes { total: &self.cx.buffered_bytes, own: 0 };
+        let mut body = BytesMut::new();
+        while let Some(piece) = upstream.next_piece().await? {
+            buffered.add(piece.len())?;
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    }
+
     async fn read_complete_response(
         &self,
         grant: &Grant,
@@ -440,7 +459,7 @@
         mut upstream: ClientConn,
         head: http::Response<()>,
     ) -> Result<EndpointResponse, AttemptFailure> {
-        let body = match upstream.read_body(MAX_BUFFERED_RESPONSE_BYTES).await {
+        let body = match self.read_body(&mut upstream).await {
             Ok(body) => body,
             Err(e) => return Err(self.connection_failed(in_flight, "the answer broke off", &e)),
         };
@@ -499,3 +518,56 @@
         self.request.received_at
     }
 }
+
+/// Returns what the caller gets after the last attempt failed: an endpoint's 5xx response, if
+/// there was one, or a failure. `verdict` covers all attempts.
+fn final_result(
+    failure: AttemptFailure,
+    fallback: Option<Response>,
+    verdict: Verdict,
+) -> Result<EndpointResponse, Failure> {
+    let may_have_run = verdict != Verdict::NotRun;
+    match (failure, fallback) {
+        (AttemptFailure::ErrorResponse(res), _) => Ok(EndpointResponse::Complete(res)),
+        (_, Some(res)) => Ok(EndpointResponse::Complete(res)),
+        (AttemptFailure::MayHaveRun(cause), _) => Err(Failure::MayHaveRun(cause)),
+        (_, None) if may_have_run => Err(Failure::MayHaveRun("an earlier try failed")),
+        (AttemptFailure::Stopping, _) => Err(Failure::Stopping),
+        (AttemptFailure::NotRun(cause), _) => Err(Failure::NotRun(cause)),
+        (AttemptFailure::NotSent, _) => Err(Failure::NotRun("no endpoint could be reached")),
+        (AttemptFailure::Refused(refused), _) => Err(Failure::Refused(refused)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bodies_that_are_read_at_a_time_share_a_bound() {
+        const PIECE_BYTES: usize = 16 * 1024;
+        let total = Cell::new(0);
+        let mut bodies: Vec<_> =
+            (0..100).map(|_| BufferedBytes { total: &total, own: 0 }).collect();
+        while !bodies.is_empty() {
+            bodies.retain_mut(|body| body.add(PIECE_BYTES).is_ok());
+            assert!(total.get() <= MAX_BUFFERED_BYTES, "{}", total.get());
+        }
+        assert_eq!(total.get(), 0);
+    }
+
+    #[test]
+    fn no_failure_after_an_attempt_that_may_have_run_says_that_it_has_not() {
+        let failures = [
+            AttemptFailure::NotSent,
+            AttemptFailure::NotRun("full"),
+            AttemptFailure::MayHaveRun("silent"),
+            AttemptFailure::Refused(Refused::RetryBudget),
+            AttemptFailure::Stopping,
+        ];
+        for failure in failures {
+            let result = final_result(failure, None, Verdict::MayHaveRun);
+            assert!(matches!(result, Err(Failure::MayHaveRun(_))));
+        }
+    }
+}
--- a/crates/gateway/src/caller/failure.rs
+++ b/crates/gateway/src/caller/failure.rs
@@ -1,8 +1,7 @@
 //! Failures of a request for which no endpoint's response can be forwarded, and the response that
 //! the gateway sends for each.
 //!
-//! Only a request that has not run gets status 429 or 503, which a caller may always retry. The one
-//! exception is `Stopping`, which gives 503 even if an earlier attempt may have run the request.
+//! Only a request that has not run gets status 429 or 503, which a caller may always retry.
 
 use std::time::Duration;
 
@@ -30,7 +29,8 @@
     MayHaveRun(&'static str),
     /// The request's timeout elapsed; the verdict states whether an endpoint may have run it.
     TimedOut(Verdict),
-    /// The scheduler gave neither a grant nor a refusal, as when the process is shutting down.
+    /// The scheduler gave neither a grant nor a refusal, as when the process is shutting down; the
+    /// request has not run.
     Stopping,
 }
 
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -10,12 +10,12 @@
 use baobabvane_decide::Ending;
 use baobabvane_wire::{ServerConn, WireError};
 use bytes::Bytes;
-use monoio::time::sleep;
+use monoio::time::{Instant, sleep};
 
 use super::exchange::{Exchange, ResponseStream};
 use crate::events::EventParser;
 
-/// A stream that may still be resumed is treated as broken after no data for at least this
+/// A stream that may still be resumed is treated as broken after no event for at least this
 /// multiple of the route's `max_gap_ms`.
 const SILENCE_TIMEOUT_GAP_MULTIPLE: u32 = 4;
 
@@ -105,8 +105,9 @@
 ) -> RelayEnd {
     let ResponseStream { head, mut upstream, mut in_flight, endpoint, .. } = *stream;
     let forwarded_before = parser.forwarded_events();
+    let mut last_event_at = Instant::now();
     loop {
-        let received = match wait_for_data(exchange, conn, &mut upstream).await {
+        let received = match wait_for_data(exchange, conn, &mut upstream, last_event_at).await {
             WaitResult::Data(data) => data,
             WaitResult::CallerDisconnected => return RelayEnd::CallerDisconnected,
             WaitResult::TimedOut => return RelayEnd::TimedOut,
@@ -117,7 +118,13 @@
         };
         match received {
             Ok(Some(data)) => {
-                let complete_events = parser.push(&data);
+                let Ok(complete_events) = parser.push(&data) else {
+                    in_flight.end(Ending::Failed);
+                    return RelayEnd::Broken("an event is too long");
+                };
+                if !complete_events.is_empty() {
+                    last_event_at = Instant::now();
+                }
                 if parser.forwarded_events() > forwarded_before {
                     in_flight.record_response_start();
                 }
@@ -160,15 +167,22 @@
     EndpointSilent,
 }
 
+/// Waits for data from the endpoint.
+///
+/// Silence counts from the last complete event, as an endpoint that has stalled may still send
+/// single bytes.
 async fn wait_for_data(
     exchange: &Exchange<'_>,
     conn: &mut ServerConn,
     upstream: &mut baobabvane_wire::ClientConn,
+    last_event_at: Instant,
 ) -> WaitResult {
     let time_left = exchange.time_left();
     let gap_limit =
         Duration::from_millis(exchange.request.route.max_gap_ms) * SILENCE_TIMEOUT_GAP_MULTIPLE;
-    let silence_timeout = exchange.silence_timeout().map(|s| s.max(gap_limit));
+    let silence_timeout = exchange
+        .silence_timeout()
+        .map(|s| s.max(gap_limit).saturating_sub(last_event_at.elapsed()));
     let wait = silence_timeout.map_or(time_left, |s| s.min(time_left));
     // Cancelling an unfinished read loses the bytes it has read. That is harmless, as every
     // other branch abandons the upstream connection.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -33,6 +33,8 @@
     pub(crate) active_requests: Cell<usize>,
     /// Open connections of callers, idle ones included.
     pub(crate) caller_connections: Cell<usize>,
+    /// Bytes of response bodies that are being read from endpoints.
+    pub(crate) buffered_bytes: Cell<usize>,
     last_ticket: Cell<u64>,
     rng: RefCell<rand::rngs::SmallRng>,
 }
@@ -53,6 +55,7 @@
             drain: Drain::default(),
             active_requests: Cell::new(0),
             caller_connections: Cell::new(0),
+            buffered_bytes: Cell::new(0),
             last_ticket: Cell::new(0),
             rng: RefCell::new(rand::make_rng()),
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -9,10 +9,20 @@
 use bytes::{Bytes, BytesMut};
 use monoio::time::Instant;
 
+/// The longest event, in bytes. An endpoint that sends more without ending the event is faulty.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An endpoint sent an event that is longer than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct EventTooLong;
+
 /// Parser for the events of one response, which may come from several endpoints in turn.
 #[derive(Debug, Default)]
 pub(crate) struct EventParser {
     partial: BytesMut,
+    /// The length of `partial` up to its last complete line, where the search for the end of the
+    /// event continues.
+    searched: usize,
     last_event_id: Option<u64>,
     forwarded_events: u32,
     timing: EventTiming,
@@ -43,11 +53,16 @@
     }
 
     /// Appends received data and returns the new events that it completes.
-    pub(crate) fn push(&mut self, data: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the incomplete event is too long.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
         self.partial.extend_from_slice(data);
         let mut forwarded = BytesMut::new();
-        while let Some(end) = event_end(&self.partial) {
+        while let Some(end) = self.find_event_end() {
             let event = self.partial.split_to(end);
+            self.searched = 0;
             let id = event_id(&event);
             if id.is_some_and(|id| self.last_event_id.is_some_and(|last| id <= last)) {
                 continue;
@@ -57,16 +72,38 @@
             self.timing.record_event(Instant::now());
             forwarded.unsplit(event);
         }
-        forwarded.freeze()
+        match self.partial.len() > MAX_EVENT_BYTES {
+            true => Err(EventTooLong),
+            false => Ok(forwarded.freeze()),
+        }
+    }
+
+    /// Returns the length of the first event with the blank line that ends it, if it is complete.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let mut line_start = self.searched;
+        for (i, byte) in self.partial.iter().enumerate().skip(self.searched) {
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &self.partial[line_start..i];
+            if line.is_empty() || line == b"\r" {
+                return Some(i + 1);
+            }
+            line_start = i + 1;
+        }
+        self.searched = line_start;
+        None
     }
 
     /// Takes the bytes after the last complete event; call it only if the stream ended properly.
     pub(crate) fn finish(&mut self) -> Bytes {
+        self.searched = 0;
         self.partial.split().freeze()
     }
 
     /// Discards an incomplete event, before the stream is resumed at another endpoint.
     pub(crate) fn discard_partial(&mut self) {
+        self.searched = 0;
         self.partial.clear();
     }
 
@@ -85,22 +122,6 @@
     }
 }
 
-/// Returns the length of the first event with the blank line that ends it, if it is complete.
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (i, byte) in buf.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buf[line_start..i];
-        if line.is_empty() || line == b"\r" {
-            return Some(i + 1);
-        }
-        line_start = i + 1;
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
@@ -113,27 +134,47 @@
     #[test]
     fn only_complete_events_are_forwarded() {
         let mut events = EventParser::default();
-        assert_eq!(events.push(b"id: 1\ndata: a\n"), "");
-        assert_eq!(events.push(b"\nid: 2\nda"), "id: 1\ndata: a\n\n");
+        assert_eq!(events.push(b"id: 1\ndata: a\n").unwrap(), "");
+        assert_eq!(events.push(b"\nid: 2\nda").unwrap(), "id: 1\ndata: a\n\n");
         assert_eq!(events.last_event_id(), Some(1));
-        assert_eq!(events.push(b"ta: b\n\n"), "id: 2\ndata: b\n\n");
+        assert_eq!(events.push(b"ta: b\n\n").unwrap(), "id: 2\ndata: b\n\n");
         assert_eq!((events.last_event_id(), events.forwarded_events()), (Some(2), 2));
     }
 
     #[test]
     fn resumed_stream_does_not_repeat_events() {
         let mut events = EventParser::default();
-        events.push(b"id: 1\ndata: a\n\nid: 2\nda");
+        events.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
         events.discard_partial();
-        let forwarded = events.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        let forwarded = events.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n").unwrap();
         assert_eq!(forwarded, "id: 2\ndata: b\n\n");
     }
 
     #[test]
     fn trailing_bytes_are_forwarded_only_at_the_end() {
         let mut events = EventParser::default();
-        assert_eq!(events.push(b"\r\ntail"), "\r\n");
+        assert_eq!(events.push(b"\r\ntail").unwrap(), "\r\n");
         assert_eq!(events.finish(), "tail");
         assert_eq!(events.finish(), "");
     }
+
+    #[test]
+    fn events_are_the_same_however_the_bytes_arrive() {
+        let text = b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n:\n\nid: 3\ndata: c\n\n";
+        for size in 1..text.len() {
+            let mut events = EventParser::default();
+            let pieces = text.chunks(size).map(|piece| events.push(piece).unwrap());
+            assert_eq!(pieces.collect::<Vec<_>>().concat(), text, "pieces of {size}");
+            assert_eq!(events.last_event_id(), Some(3));
+        }
+    }
+
+    #[test]
+    fn event_without_end_is_an_error() {
+        let mut events = EventParser::default();
+        let line = [b"data: ".as_slice(), &[b'x'; 9_993], b"\n"].concat();
+        let results: Vec<_> = (0..200).map(|_| events.push(&line)).collect();
+        assert!(results[..100].iter().all(Result::is_ok));
+        assert_eq!(results[199], Err(EventTooLong));
+    }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -18,7 +18,7 @@
 use local_sync::mpsc::unbounded;
 use monoio::{
     net::{TcpListener, udp::UdpSocket},
-    time::Instant,
+    time::{Instant, sleep},
 };
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +42,8 @@
 /// each topic within half of its own bound; where the bounds of the topics are equal, the rest
 /// allows for the delay of heartbeats.
 const MAX_STORE_READ_AGE_SHARE: f64 = 0.75;
+/// Delay before the next read of the heartbeat socket after a failed one.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// How long an instance waits for its own read of the store before it fetches a newer version
 /// from a peer.
 const FETCH_DELAY: Duration = Duration::from_millis(50);
@@ -155,9 +157,14 @@
     loop {
         let (result, returned) = socket.recv_from(buf).await;
         buf = returned;
-        // A previous send to a stopped peer can surface as an error here; it is ignored.
-        if let Ok((len, _)) = result {
-            to.send(PeersMessage::Datagram(buf[..len].to_vec()));
+        match result {
+            Ok((len, _)) => to.send(PeersMessage::Datagram(buf[..len].to_vec())),
+            // A previous send to a stopped peer can surface as an error here. The pause prevents a
+            // busy loop should the socket itself fail.
+            Err(e) => {
+                log::debug!("event=receive_failed error={:?}", e.to_string());
+                sleep(RECEIVE_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -5,11 +5,11 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_members::{MessageError, SharedKey, decode_authenticated, encode_authenticated};
-use baobabvane_tasks::Mailbox;
+use baobabvane_tasks::{Mailbox, spawn_isolated};
 use monoio::{
     io::{AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -21,6 +21,8 @@
 
 /// The time limit of a fetch, and of serving one; after that another peer may be asked.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Delay before the next `accept` after a failed one.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The maximum size of a message, enough for some thousand routes.
 const MAX_MESSAGE_BYTES: u32 = 8 * 1024 * 1024;
 
@@ -51,9 +53,16 @@
     scheduler: Mailbox<SchedulerMessage>,
 ) {
     loop {
-        let Ok((stream, peer)) = listener.accept().await else { continue };
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                log::warn!("event=peer_accept_failed error={:?}", e.to_string());
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
         let (knowledge, scheduler) = (Rc::clone(&knowledge), scheduler.clone());
-        monoio::spawn(async move {
+        spawn_isolated("peer", async move {
             let reply = serve_request(stream, &knowledge, &scheduler);
             let result = timeout(FETCH_TIMEOUT, reply).await.unwrap_or(Err(SyncError::TimedOut));
             if let Err(e) = result {
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use baobabvane_tasks::spawn_isolated;
 use baobabvane_wire::{Limits, Response, ServerConn};
 use bytes::Bytes;
 use http::StatusCode;
@@ -49,7 +50,7 @@
             monoio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        monoio::spawn(serve_connection(stream, Rc::clone(&handler)));
+        spawn_isolated("probe", serve_connection(stream, Rc::clone(&handler)));
     }
 }
 
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -30,6 +30,18 @@
     BrokenEvents(u64),
     /// Sends the events up to this number, then keeps the connection open without sending more.
     StalledEvents(u64),
+    /// Sends the events up to this number, then a byte now and then that completes no event.
+    DrippedEvents(u64),
+    /// Sends the events up to this number, then one event without end.
+    EndlessEvent(u64),
+    /// Sends header lines without end.
+    EndlessHead,
+    /// Sends a chunked body without end.
+    EndlessBody,
+    /// Answers like `NotExecuted`, with a body that never ends.
+    EndlessRefusal,
+    /// Sends events at this interval, up to this number.
+    SlowEvents(Duration, u64),
     /// Sends the answer to another request first, on the same connection.
     ForeignAnswerBefore(&'static str),
     /// Sends the answer to another request right after its own.
@@ -63,8 +75,14 @@
     scripts: Rc<RefCell<VecDeque<Script>>>,
     received: Rc<RefCell<Vec<ReceivedRequest>>>,
     cancelled: Rc<RefCell<u32>>,
+    bytes_written: Rc<RefCell<usize>>,
 }
 
+/// The pause between two bytes of an endpoint that drips.
+const DRIP_INTERVAL: Duration = Duration::from_millis(20);
+/// The text that an endpoint repeats when its answer has no end.
+const FLOOD: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
 impl Endpoint {
     /// Starts an endpoint that uses one script per request and repeats the last one.
     pub(crate) fn spawn(id: &str, pool: &str, scripts: &[Script]) -> Self {
@@ -75,6 +93,7 @@
             scripts: Rc::new(RefCell::new(scripts.iter().cloned().collect())),
             received: Rc::default(),
             cancelled: Rc::default(),
+            bytes_written: Rc::default(),
         };
         monoio::spawn(endpoint.clone().accept(listener));
         endpoint
@@ -91,6 +110,11 @@
         *self.cancelled.borrow()
     }
 
+    /// Returns the number of bytes that answers without end have written.
+    pub(crate) fn endless_bytes(&self) -> usize {
+        *self.bytes_written.borrow()
+    }
+
     async fn accept(self, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             monoio::spawn(self.clone().serve(stream));
@@ -150,6 +174,45 @@
                 write(stream, event_stream(&id, last_event_id(request), last)).await;
                 self.until_cancelled(stream).await
             }
+            Script::DrippedEvents(last) => {
+                write(stream, event_stream(&id, last_event_id(request), last)).await;
+                self.write_until_cancelled(stream, "1\r\n:\r\n", DRIP_INTERVAL).await
+            }
+            Script::EndlessEvent(last) => {
+                write(stream, event_stream(&id, last_event_id(request), last)).await;
+                let chunk = format!("{:x}\r\n{}\r\n", FLOOD.len(), FLOOD);
+                self.write_until_cancelled(stream, &chunk, Duration::ZERO).await
+            }
+            Script::EndlessHead => {
+                write(stream, "HTTP/1.1 200 OK\r\n".to_owned()).await;
+                let line = format!("x-flood: {FLOOD}\r\n");
+                self.write_until_cancelled(stream, &line, Duration::ZERO).await
+            }
+            Script::EndlessBody => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n\
+                     baobabvane-signature: s\r\ntransfer-encoding: chunked\r\n\r\n"
+                );
+                write(stream, head).await;
+                let chunk = format!("{:x}\r\n{}\r\n", FLOOD.len(), FLOOD);
+                self.write_until_cancelled(stream, &chunk, Duration::ZERO).await
+            }
+            Script::EndlessRefusal => {
+                let head = "HTTP/1.1 503 x\r\nbaobabvane-not-executed: 1\r\n\
+                            transfer-encoding: chunked\r\n\r\n";
+                write(stream, head.to_owned()).await;
+                self.write_until_cancelled(stream, "1\r\n:\r\n", DRIP_INTERVAL).await
+            }
+            Script::SlowEvents(interval, last) => {
+                write(stream, event_stream(&id, 0, 0)).await;
+                for number in last_event_id(request) + 1..=last {
+                    sleep(interval).await;
+                    if !write(stream, event_chunk(number)).await {
+                        return false;
+                    }
+                }
+                write(stream, "0\r\n\r\n".to_owned()).await
+            }
             Script::ForeignAnswerBefore(body) => {
                 let other = signed_answer(200, "another", "not yours");
                 write(stream, other + &signed_answer(200, &id, body)).await
@@ -179,6 +242,23 @@
         }
     }
 
+    /// Writes a text again and again until the gateway closes the connection, and counts that as
+    /// a cancellation.
+    async fn write_until_cancelled(
+        &self,
+        stream: &mut TcpStream,
+        text: &str,
+        interval: Duration,
+    ) -> bool {
+        let text = if interval.is_zero() { text.repeat(256) } else { text.to_owned() };
+        while write(stream, text.clone()).await {
+            *self.bytes_written.borrow_mut() += text.len();
+            sleep(interval).await;
+        }
+        *self.cancelled.borrow_mut() += 1;
+        false
+    }
+
     /// Waits until the gateway closes the connection, and counts that as a cancellation.
     ///
     /// Returns false, as the connection cannot carry another request.
@@ -224,12 +304,17 @@
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     for number in after + 1..=last {
-        let event = format!("id: {number}\ndata: {number}\n\n");
-        text += &format!("{:x}\r\n{event}\r\n", event.len());
+        text += &event_chunk(number);
     }
     text
 }
 
+/// Returns a chunk that holds one event.
+fn event_chunk(number: u64) -> String {
+    let event = format!("id: {number}\ndata: {number}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
 async fn write(stream: &mut TcpStream, text: String) -> bool {
     stream.write_all(text.into_bytes()).await.0.is_ok()
 }
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -18,6 +18,10 @@
 /// Timeout of connections and of [`eventually`]; long enough for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How much of an answer without end the gateway may take, with what the sockets buffer; far less
+/// than the memory of the smallest instance.
+pub(crate) const MAX_ENDLESS_BYTES: usize = 32 << 20;
+
 /// Runs a future to completion on monoio's legacy (epoll) driver.
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
--- a/crates/gateway/tests/testsuite/retries.rs
+++ b/crates/gateway/tests/testsuite/retries.rs
@@ -4,10 +4,11 @@
 
 use baobabvane_gateway::{Configuration, Semantics};
 use http::Method;
+use monoio::time::timeout;
 
 use crate::{
     endpoint::{Endpoint, Script},
-    fixture::{GatewayFixture, block_on, route},
+    fixture::{GatewayFixture, MAX_ENDLESS_BYTES, block_on, eventually, route},
 };
 
 #[test]
@@ -142,3 +143,36 @@
         assert!(started_at.elapsed() >= Duration::from_millis(200));
     });
 }
+
+#[test]
+fn answers_without_end_are_cut_and_the_request_is_retried() {
+    for script in [Script::EndlessHead, Script::EndlessBody, Script::EndlessRefusal] {
+        block_on(async {
+            let endpoint =
+                Endpoint::spawn("e1", "desk", &[script.clone(), Script::Answer(200, "done")]);
+            let gateway = GatewayFixture::start(&[&endpoint]).await;
+            let answer = timeout(Duration::from_secs(10), gateway.get("/reads/")).await;
+            let answer = answer.unwrap_or_else(|_| panic!("{script:?} is not cut"));
+            assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "done"), "{script:?}");
+            eventually(|| endpoint.cancelled_requests() == 1).await;
+            let bytes = endpoint.endless_bytes();
+            assert!(bytes < MAX_ENDLESS_BYTES, "{script:?}: {bytes}");
+        });
+    }
+}
+
+#[test]
+fn many_answers_without_end_at_once_are_all_cut() {
+    block_on(async {
+        let endpoints: Vec<Endpoint> = (0..6)
+            .map(|i| Endpoint::spawn(&format!("e{i}"), "desk", &[Script::EndlessBody]))
+            .collect();
+        let gateway = GatewayFixture::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        let requests = (0..6).map(|_| gateway.post("/postings/"));
+        for answer in futures::future::join_all(requests).await {
+            assert_eq!(answer.status, 502);
+        }
+        let cancelled = || endpoints.iter().map(Endpoint::cancelled_requests).sum::<u32>();
+        eventually(|| cancelled() == 6).await;
+    });
+}
--- a/crates/gateway/tests/testsuite/stopping.rs
+++ b/crates/gateway/tests/testsuite/stopping.rs
@@ -62,3 +62,25 @@
         assert_eq!(endpoint.received_requests().len(), 1);
     });
 }
+
+#[test]
+fn stopping_instance_answers_callers_that_connected_just_before() {
+    block_on(async {
+        let endpoint = Endpoint::spawn("e1", "desk", &[Script::Answer(200, "done")]);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        let mut accepted = gateway.connect_caller().await;
+        let mut idle = gateway.connect_caller().await;
+        idle.request(Method::GET, "/reads/", &[]).await.unwrap();
+        let mut sending = gateway.connect_caller().await;
+        sending.request(Method::GET, "/reads/", &[]).await.unwrap();
+        // Lets the gateway accept the first connection and wait for its request.
+        sleep(Duration::from_millis(100)).await;
+        // This request arrives before the gateway handles the stop, which is set right after it.
+        sending.send(Method::GET, "/reads/", &[]).await.unwrap();
+        gateway.stop.stop();
+        assert_eq!(sending.read_answer(&Method::GET).await.unwrap().status, 200);
+        assert!(idle.closes_without_answer().await);
+        let answer = accepted.request(Method::GET, "/reads/", &[]).await.unwrap();
+        assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "done"));
+    });
+}
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -1,12 +1,14 @@
 //! Tests of streams: no event is lost, repeated or merged with another, and a stream that is
 //! cut off never looks complete.
 
+use std::time::Duration;
+
 use baobabvane_gateway::Semantics;
 use http::Method;
 
 use crate::{
     endpoint::{Endpoint, Script},
-    fixture::{GatewayFixture, block_on, events, eventually},
+    fixture::{GatewayFixture, MAX_ENDLESS_BYTES, block_on, events, eventually},
 };
 
 /// Requests a stream; returns its text and whether it ended properly.
@@ -89,6 +91,44 @@
     });
 }
 
+#[test]
+fn resumable_stream_that_drips_bytes_without_an_event_continues_on_another_attempt() {
+    block_on(async {
+        let scripts = [Script::DrippedEvents(2), Script::Events(4)];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        let stream = request_stream(&gateway, "/answers/");
+        let stream = monoio::time::timeout(Duration::from_secs(10), stream).await;
+        assert_eq!(stream.expect("the dripping attempt is ended"), (events(1, 4), true));
+        eventually(|| endpoint.cancelled_requests() == 1).await;
+    });
+}
+
+#[test]
+fn stream_whose_gaps_are_shorter_than_the_silence_timeout_is_not_cut() {
+    block_on(async {
+        // The whole stream takes longer than the silence timeout of 1.5 s.
+        let script = Script::SlowEvents(Duration::from_millis(400), 6);
+        let endpoint = Endpoint::spawn("e1", "desk", &[script]);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        assert_eq!(request_stream(&gateway, "/answers/").await, (events(1, 6), true));
+        assert_eq!(endpoint.received_requests().len(), 1);
+    });
+}
+
+#[test]
+fn event_without_end_is_cut_and_the_stream_continues_on_another_attempt() {
+    block_on(async {
+        let scripts = [Script::EndlessEvent(2), Script::Events(4)];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        let stream = request_stream(&gateway, "/answers/").await;
+        assert_eq!(stream, (events(1, 4), true));
+        eventually(|| endpoint.cancelled_requests() == 1).await;
+        assert!(endpoint.endless_bytes() < MAX_ENDLESS_BYTES, "{}", endpoint.endless_bytes());
+    });
+}
+
 #[test]
 fn caller_resumes_a_stream_with_last_event_id() {
     block_on(async {
--- a/crates/tasks/src/lib.rs
+++ b/crates/tasks/src/lib.rs
@@ -3,11 +3,13 @@
 //! Except for [`StopHandle`], the types serve tasks on one thread.
 
 mod count_guard;
+mod isolated;
 mod listen;
 mod mailbox;
 mod stop;
 
 pub use count_guard::CountGuard;
+pub use isolated::spawn_isolated;
 pub use listen::listen;
 pub use mailbox::Mailbox;
 pub use stop::StopHandle;
