decide: free slots go to more urgent requests that wait at other schedulers

An instance with many requests in flight reuses each slot that they free; one with few gets none. And an instance took its share of the slots that the others left to it, not of all slots, so one with two in flight counted as at its share. Change: heartbeats carry the numbers of waiting requests by pool and tier; a request leaves as many free slots as more urgent ones wait elsewhere, unless its tier is below its floor. The share is that of all slots. Test: a_slot_freed_under_overload_goes_to_the_more_urgent_request_of_another_scheduler plays the load with two schedulers; 0 and, with the share unmended, 1 of 3 urgent requests were dispatched, now 3.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -17,7 +17,7 @@
     endpoint::Endpoint,
     event::{
         Action, Descriptor, EndpointKey, EndpointLoad, Event, KindId, Millis, Rank, Refusal, Speed,
-        Ticket, Why,
+        Ticket, WaitingCounts, Why,
     },
     learn::{Average, Rate},
     long_work::LongWorkLimit,
@@ -85,6 +85,8 @@
     /// Share of the pool's room, 0 to 1, up to which this scheduler uses any free slot.
     pool_share: f64,
     mean_load_age_ms: Millis,
+    /// Requests that wait at the schedulers that share the pool.
+    peers_waiting: WaitingCounts,
     /// Time at which the endpoints' allowances beyond the share were last redrawn.
     allowance_redrawn_at: Millis,
     request_duration_ms: Average,
@@ -115,6 +117,7 @@
             neighbour_room: 0,
             pool_share: 1.0,
             mean_load_age_ms: 0.0,
+            peers_waiting: WaitingCounts::new(),
             allowance_redrawn_at: 0.0,
             request_duration_ms: Average::new(DEFAULT_REQUEST_DURATION_MS, 0.02),
             actions: VecDeque::new(),
@@ -155,9 +158,10 @@
             }
             Event::CacheStored(key, blocks) => self.prefixes.store(key, &blocks),
             Event::CacheEvicted(key, blocks) => self.prefixes.remove_blocks(key, &blocks),
-            Event::PeersUpdated { pool_share, mean_load_age_ms } => {
+            Event::PeersUpdated { pool_share, mean_load_age_ms, waiting } => {
                 self.pool_share = pool_share;
                 self.mean_load_age_ms = mean_load_age_ms;
+                self.peers_waiting = waiting;
             }
             Event::NeighbourRoomUpdated(room) => self.neighbour_room = room,
             Event::Tick => self.tick(),
@@ -190,6 +194,11 @@
         busy.map(|(key, e)| (key, e.load()))
     }
 
+    /// Returns the numbers of waiting requests by tier, most urgent first.
+    pub fn waiting_by_tier(&self) -> WaitingCounts {
+        self.queue.ranks().map(|rank| (rank, self.queue.tier_len(rank))).collect()
+    }
+
     /// Returns a snapshot for metrics and status.
     pub fn counts(&self) -> Counts {
         let open = self.endpoints.values().filter(|e| e.breaker.is_open()).count();
@@ -294,11 +303,25 @@
 
     /// Dispatches the next request in order; returns false if none can be dispatched.
     fn dispatch_one(&mut self) -> bool {
-        let in_flight = self.in_flight.len() as u32;
-        if self.total_room() <= in_flight {
+        let free = self.total_room().saturating_sub(self.in_flight.len() as u32);
+        if free == 0 {
             return false;
         }
-        self.dispatch_order().into_iter().any(|rank| self.dispatch_from_tier(rank))
+        let order = self.dispatch_order();
+        order.into_iter().any(|rank| {
+            let has_slot = free > self.slots_left_to_peers(rank) || self.is_below_floor(rank);
+            has_slot && self.dispatch_from_tier(rank)
+        })
+    }
+
+    /// Returns the number of free slots that a request of the tier leaves to more urgent ones, which
+    /// wait at other schedulers.
+    ///
+    /// Without this, under overload a scheduler would reuse each slot that it frees for its own
+    /// less urgent requests, while more urgent ones wait at a scheduler with few slots.
+    fn slots_left_to_peers(&self, rank: Rank) -> u32 {
+        let more_urgent = self.peers_waiting.iter().filter(|(waiting, _)| *waiting < rank);
+        more_urgent.map(|(_, count)| count).sum()
     }
 
     /// Returns the tiers in dispatch order: those below their floor first, then all by rank.
@@ -360,7 +383,7 @@
     /// Returns whether this scheduler has its share of the pool in flight. Other schedulers
     /// may be about to use any slot that it takes beyond the share.
     fn has_reached_share(&self) -> bool {
-        let own = f64::from(self.total_room()) * self.pool_share;
+        let own = f64::from(self.ready.shared_limit()) * self.pool_share;
         self.in_flight.len() as f64 + 1.0 > own.max(1.0)
     }
 
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -166,13 +166,21 @@
         if self.breaker.is_open() { free.min(1) } else { free }
     }
 
+    /// Returns how many requests of all schedulers together may be in flight at once.
+    pub(crate) fn shared_limit(&self) -> u32 {
+        if self.is_leaving {
+            return 0;
+        }
+        let limit = if self.has_adaptive_limit { self.limit.get() } else { self.slots };
+        limit + (f64::from(limit) * self.overcommit_ratio).round() as u32
+    }
+
     /// Returns how many requests of this scheduler may be in flight at once.
     pub(crate) fn room(&self, now: Millis) -> u32 {
         if self.is_leaving {
             return 0;
         }
-        let limit = if self.has_adaptive_limit { self.limit.get() } else { self.slots };
-        let limit = limit + (f64::from(limit) * self.overcommit_ratio).round() as u32;
+        let limit = self.shared_limit();
         let age = now - self.foreign_as_of;
         let foreign_requests = self.foreign_requests * (-age / REPORT_HALF_LIFE_MS).exp2();
         // The load derived from a report is a guess, so it leaves room for at least one request;
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -148,6 +148,9 @@
     Cancelled,
 }
 
+/// Numbers of waiting requests by tier.
+pub type WaitingCounts = SmallVec<[(Rank, u32); 4]>;
+
 /// An input of the core.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -178,6 +181,8 @@
         pool_share: f64,
         /// Mean age of the loads received from the others, in milliseconds.
         mean_load_age_ms: Millis,
+        /// Requests that wait at the others, by tier in ascending rank.
+        waiting: WaitingCounts,
     },
     /// An endpoint cached blocks; these events may be late or missing.
     CacheStored(EndpointKey, PrefixBlocks),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -41,7 +41,7 @@
     event::{
         Action, Choice, Descriptor, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event,
         FailedAt, KindId, LatencyGoal, LoadReport, Millis, OrgId, PrefixBlocks, Rank, Refusal,
-        Speed, Ticket, Why,
+        Speed, Ticket, WaitingCounts, Why,
     },
     policy::{Placement, Policy, TierPolicy},
 };
--- a/crates/decide/src/ready.rs
+++ b/crates/decide/src/ready.rs
@@ -17,19 +17,21 @@
 const REFERENCE_PROMPT_TOKENS: u32 = 256;
 const REFERENCE_ANSWER_TOKENS: f64 = 64.0;
 
-/// Room and score of an endpoint at its last update; no score if it has no free room.
+/// Limits and score of an endpoint at its last update; no score if it has no free room.
 #[derive(Clone, Copy, Debug)]
 struct EndpointEntry {
     room: u32,
+    shared_limit: u32,
     score: Option<f64>,
 }
 
-/// Endpoints with free room by estimated time, and the summed room of all endpoints.
+/// Endpoints with free room by estimated time, and the summed limits of all endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct ReadyEndpoints {
     by_score: BTreeSet<(OrderedF64, EndpointKey)>,
     entries: SecondaryMap<EndpointKey, EndpointEntry>,
     room: u32,
+    shared_limit: u32,
 }
 
 impl ReadyEndpoints {
@@ -39,15 +41,18 @@
             let first_token = endpoint.first_token_ms(REFERENCE_PROMPT_TOKENS);
             first_token + REFERENCE_ANSWER_TOKENS * endpoint.decode_ms_per_token()
         });
-        let entry = EndpointEntry { room: endpoint.room(now), score };
+        let shared_limit = endpoint.shared_limit();
+        let entry = EndpointEntry { room: endpoint.room(now), shared_limit, score };
         if let Some(old) = self.entries.get(key)
             && old.score == score
             && old.room == entry.room
+            && old.shared_limit == shared_limit
         {
             return;
         }
         self.remove(key);
         self.room += entry.room;
+        self.shared_limit += shared_limit;
         if let Some(score) = score {
             self.by_score.insert((OrderedF64(score), key));
         }
@@ -57,16 +62,24 @@
     pub(crate) fn remove(&mut self, key: EndpointKey) {
         let Some(old) = self.entries.remove(key) else { return };
         self.room -= old.room;
+        self.shared_limit -= old.shared_limit;
         if let Some(score) = old.score {
             self.by_score.remove(&(OrderedF64(score), key));
         }
     }
 
-    /// Returns how many requests all endpoints together may have in flight at once.
+    /// Returns how many requests of this scheduler may be in flight at once at all endpoints
+    /// together.
     pub(crate) fn room(&self) -> u32 {
         self.room
     }
 
+    /// Returns how many requests of all schedulers may be in flight at once at all endpoints
+    /// together.
+    pub(crate) fn shared_limit(&self) -> u32 {
+        self.shared_limit
+    }
+
     /// Returns the endpoints with free room, best first.
     pub(crate) fn iter(&self) -> impl Iterator<Item = EndpointKey> {
         self.by_score.iter().map(|(_, key)| *key)
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -2,7 +2,7 @@
 
 use baobabvane_decide::{
     Action, Core, Descriptor, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, KindId,
-    LatencyGoal, OrgId, Policy, Refusal, Ticket,
+    LatencyGoal, OrgId, Policy, Rank, Refusal, Ticket,
 };
 use slotmap::SlotMap;
 
@@ -42,7 +42,7 @@
         core.handle(0.0, Event::EndpointJoined(*key, spec.clone()));
     }
     let pool_share = 1.0 / f64::from(SCHEDULERS);
-    core.handle(0.0, Event::PeersUpdated { pool_share, mean_load_age_ms: 0.0 });
+    update_peers(&mut core, 0.0, pool_share, &[]);
     // Requests with a goal go to the least utilized endpoint, so each goes to a different one.
     let goal =
         LatencyGoal { first_token_by: 9_000.0, max_gap_ms: 500.0, caller_leaves_at: 9_000.0 };
@@ -53,6 +53,11 @@
     core
 }
 
+fn update_peers(core: &mut Core, now: f64, pool_share: f64, waiting: &[(Rank, u32)]) {
+    let waiting = waiting.iter().copied().collect();
+    core.handle(now, Event::PeersUpdated { pool_share, mean_load_age_ms: 0.0, waiting });
+}
+
 fn update_peer_loads(core: &mut Core, now: f64, keys: &[EndpointKey], requests: u32) {
     for key in keys {
         core.handle(
@@ -96,6 +101,51 @@
     assert_eq!(count_dispatched(&mut core), 1);
 }
 
+/// Two schedulers share an endpoint. The first one has all of its slots and a queue of less
+/// urgent requests; urgent requests arrive at the second one.
+#[test]
+fn a_slot_freed_under_overload_goes_to_the_more_urgent_request_of_another_scheduler() {
+    let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+    let key = arena.insert(());
+    let spec = EndpointSpec { slots: SLOTS, cache_blocks: 0, is_in_other_zone: false };
+    let mut cores = [1, 2].map(|seed| {
+        let policy = Policy { seed, adaptive_limit: false, shedding: false, ..Policy::default() };
+        let mut core = Core::new(policy);
+        core.handle(0.0, Event::EndpointJoined(key, spec.clone()));
+        core
+    });
+    let request = |rank| Descriptor { rank, ..descriptor(0.0, 0, None) };
+    for ticket in 0..2 * SLOTS {
+        cores[0].handle(0.0, Event::Offer(Ticket(ticket.into()), request(2)));
+    }
+    assert_eq!(count_dispatched(&mut cores[0]), SLOTS);
+    let load = |requests| EndpointLoad { requests, pending_prefill_tokens: 0 };
+    cores[1].handle(0.0, Event::PeerLoadUpdated(key, load(SLOTS)));
+    for ticket in 100..103 {
+        cores[1].handle(0.0, Event::Offer(Ticket(ticket), request(0)));
+    }
+    let mut urgent_dispatched = 0;
+    let mut freed = 0;
+    for step in 0..6 {
+        let now = f64::from(step) * 100.0;
+        // Heartbeats of both arrive.
+        let waiting = cores.each_ref().map(Core::waiting_by_tier);
+        let in_flight = cores.each_ref().map(|core| core.counts().in_flight);
+        for (i, core) in cores.iter_mut().enumerate() {
+            core.handle(now, Event::PeerLoadUpdated(key, load(in_flight[1 - i])));
+            update_peers(core, now, 0.5, &waiting[1 - i]);
+        }
+        urgent_dispatched += count_dispatched(&mut cores[1]);
+        // A request of the first scheduler ends in each step.
+        let ending = Ending::Complete { answer_tokens: 1 };
+        cores[0].handle(now + 50.0, Event::End(Ticket(freed), ending));
+        freed += 1;
+    }
+    assert_eq!(urgent_dispatched, 3);
+    // Once no urgent request waits, the first scheduler uses its slots again.
+    assert!(count_dispatched(&mut cores[0]) >= 2);
+}
+
 #[test]
 fn empty_endpoints_accept_work_beyond_the_share() {
     let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,7 +12,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use baobabvane_decide::EndpointLoad;
+use baobabvane_decide::{EndpointLoad, Rank};
 use baobabvane_members::SharedKey;
 use baobabvane_tasks::Mailbox;
 use local_sync::mpsc::unbounded;
@@ -57,11 +57,24 @@
 /// Identifies an instance by the address on which it receives messages of other instances.
 pub(crate) type PeerId = SocketAddr;
 
+/// The requests of one tier that wait at an instance for a slot of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WaitingRequests {
+    /// The hash of the pool's name.
+    pub pool: u32,
+    /// The rank of the tier.
+    pub rank: Rank,
+    /// The number of requests.
+    pub count: u32,
+}
+
 /// The state that an instance reports in its heartbeats.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LocalState {
     /// What this instance has in flight at each endpoint, by the hash of the endpoint's id.
     pub loads: Vec<(u32, EndpointLoad)>,
+    /// The requests that wait at this instance.
+    pub waiting: Vec<WaitingRequests>,
     /// The use of quotas since the start. Only organisations whose totals changed recently are
     /// included.
     pub quota_totals: Vec<QuotaTotals>,
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -23,7 +23,7 @@
 use crate::{
     configuration::{Configuration, DiscoveredEndpoint, Engine},
     directory::{Directory, EndpointChange, EndpointList},
-    peer::{LocalState, PeerState},
+    peer::{LocalState, PeerState, WaitingRequests},
     quota::QuotaTolerance,
     retry::{RetryBudget, RetryWindow},
 };
@@ -381,10 +381,10 @@
         let changes = self.directory.apply_due_removals(now);
         self.apply_endpoint_changes(changes);
         self.update_peer_loads(now);
-        let peers_updated = self.fleet.peers_updated_event(now);
         let pools: Vec<Rc<str>> = self.pools.keys().cloned().collect();
         for pool in pools {
-            self.notify_pool(&pool, peers_updated.clone());
+            let peers_updated = self.fleet.peers_updated_event(id_hash(&pool), now);
+            self.notify_pool(&pool, peers_updated);
             self.notify_pool(&pool, Event::Tick);
         }
     }
@@ -411,7 +411,17 @@
             self.pools.values().flat_map(|p| p.core.endpoint_loads()).filter_map(|(key, load)| {
                 Some((placement::id_hash(&self.directory.get(key)?.id), load))
             });
-        LocalState { loads: loads.collect(), quota_totals: self.fleet.quota_totals(now), zone_use }
+        let waiting = self.pools.iter().flat_map(|(pool, state)| {
+            let pool = id_hash(pool);
+            let tiers = state.core.waiting_by_tier().into_iter();
+            tiers.map(move |(rank, count)| WaitingRequests { pool, rank, count })
+        });
+        LocalState {
+            loads: loads.collect(),
+            waiting: waiting.collect(),
+            quota_totals: self.fleet.quota_totals(now),
+            zone_use,
+        }
     }
 }
 
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -1,12 +1,12 @@
 //! Tracks the load and the quota use that the other instances report in their heartbeats.
 
-use baobabvane_decide::{EndpointLoad, Event};
+use baobabvane_decide::{EndpointLoad, Event, WaitingCounts};
 use rustc_hash::FxHashMap;
 
 use super::placement::{QuotaCharge, QuotaRefusal, id_hash};
 use crate::{
     configuration::{Organisation, Quota},
-    peer::{ASSUMED_FLEET_SHARE, ASSUMED_FLEET_SIZE, PeerId, PeerState},
+    peer::{ASSUMED_FLEET_SHARE, ASSUMED_FLEET_SIZE, PeerId, PeerState, WaitingRequests},
     quota::{QuotaBucket, QuotaTolerance, QuotaTotals, QuotaWindow, WindowLimit},
 };
 
@@ -18,12 +18,17 @@
 /// use to the other zones. A zone that does not report an organisation is assumed to be there.
 const REPORTED_USE_SHARE: f64 = 0.3;
 
+/// The age after which the requests that wait at a peer no longer count, in milliseconds; slots
+/// are not kept free for requests that may have been dispatched since.
+const PEER_WAITING_MAX_AGE_MS: f64 = 300.0;
+
 #[derive(Debug)]
 struct Peer {
     zone: u32,
     incarnation: u64,
     last_heartbeat_ms: f64,
     loads: Vec<(u32, EndpointLoad)>,
+    waiting: Vec<WaitingRequests>,
     quota_totals: FxHashMap<u32, QuotaTotals>,
 }
 
@@ -193,6 +198,7 @@
             incarnation: state.incarnation,
             last_heartbeat_ms: now,
             loads: state.local.loads,
+            waiting: state.local.waiting,
             quota_totals,
         };
         self.peers.insert(state.peer, peer);
@@ -208,12 +214,24 @@
         }
     }
 
-    /// Returns the event that tells a core this instance's share of the pool's capacity, which
-    /// the live instances divide equally, and the mean age of the peers' latest heartbeats.
-    pub(super) fn peers_updated_event(&self, now: f64) -> Event {
+    /// Returns the event that tells the core of a pool this instance's share of the capacity,
+    /// which the live instances divide equally, the mean age of the peers' latest heartbeats, and
+    /// the requests that wait at the peers. `pool` is the hash of the pool's name.
+    pub(super) fn peers_updated_event(&self, pool: u32, now: f64) -> Event {
+        let mut waiting = WaitingCounts::new();
+        let peers = self.peers.values();
+        let recent = peers.filter(|p| now - p.last_heartbeat_ms < PEER_WAITING_MAX_AGE_MS);
+        for tier in recent.flat_map(|p| &p.waiting).filter(|tier| tier.pool == pool) {
+            match waiting.iter_mut().find(|(rank, _)| *rank == tier.rank) {
+                Some((_, count)) => *count += tier.count,
+                None => waiting.push((tier.rank, tier.count)),
+            }
+        }
+        waiting.sort_unstable();
         Event::PeersUpdated {
             pool_share: 1.0 / f64::from(self.live_instances),
             mean_load_age_ms: self.mean_age_ms(now, |_| true),
+            waiting,
         }
     }
 
@@ -428,6 +446,7 @@
         fn send_heartbeat(&mut self, from: usize, to: &[usize], now: f64) {
             let local = LocalState {
                 loads: vec![],
+                waiting: vec![],
                 quota_totals: self.instances[from].quota_totals(now),
                 zone_use: self.instances[from].zone_use(now),
             };
