--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -125,8 +125,7 @@
         cores[1].handle(0.0, Event::Offer(Ticket(ticket), request(0)));
     }
     let mut urgent_dispatched = 0;
-    let mut freed = 0;
-    for step in 0..6 {
+    for step in 0..6_u8 {
         let now = f64::from(step) * 100.0;
         // Heartbeats of both arrive.
         let waiting = cores.each_ref().map(Core::waiting_by_tier);
@@ -138,8 +137,7 @@
         urgent_dispatched += count_dispatched(&mut cores[1]);
         // A request of the first scheduler ends in each step.
         let ending = Ending::Complete { answer_tokens: 1 };
-        cores[0].handle(now + 50.0, Event::End(Ticket(freed), ending));
-        freed += 1;
+        cores[0].handle(now + 50.0, Event::End(Ticket(step.into()), ending));
     }
     assert_eq!(urgent_dispatched, 3);
     // Once no urgent request waits, the first scheduler uses its slots again.
