gateway tests: malformed messages on each listener, an endpoint that lapses while it works

The first sends garbage by TCP to callers', probes' and peers' listeners and by UDP, the second removes a streaming endpoint from discovery and lists it again.

--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -1,12 +1,15 @@
 //! Tests of request forwarding, configuration, API keys, quotas, readiness, cancellation, draining
-//! endpoints and the timeout of long polls.
+//! endpoints, malformed messages and the timeout of long polls.
+
+use std::time::Duration;
 
 use baobabvane_gateway::{Configuration, Quota, QuotaUnit, Semantics};
 use http::Method;
+use monoio::{io::AsyncWriteRentExt, time::sleep};
 
 use crate::{
     endpoint::{Endpoint, Script},
-    fixture::{GatewayFixture, block_on, eventually, organisation, route},
+    fixture::{GatewayFixture, block_on, events, eventually, organisation, route},
 };
 
 #[test]
@@ -173,3 +176,50 @@
         }
     });
 }
+
+#[test]
+fn malformed_messages_on_any_listener_leave_the_instance_serving() {
+    block_on(async {
+        let endpoint = Endpoint::spawn("e1", "desk", &[Script::Answer(200, "done")]);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        gateway.feed.set_fleet_secret("secret");
+        let messages: [&[u8]; 5] = [
+            b"\xff\xff\xff\xff garbage",
+            b"\0\0\0\x04\xff\xff\xff\xff",
+            b"GET / HTTP/9.9\r\n\r\n",
+            b"POST /reads/ HTTP/1.1\r\ncontent-length: -1\r\n\r\n",
+            &[0; 2_000],
+        ];
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        for message in messages {
+            socket.send_to(message, gateway.peer_address).unwrap();
+            for address in gateway.listeners() {
+                let mut stream = monoio::net::TcpStream::connect_addr(address).await.unwrap();
+                stream.write_all(message.to_vec()).await.0.unwrap();
+            }
+        }
+        assert_eq!(gateway.get("/reads/").await.body, "done");
+        assert_eq!(gateway.ready_status().await, 200);
+        assert_eq!(endpoint.received_requests().len(), 1);
+    });
+}
+
+#[test]
+fn request_at_an_endpoint_that_leaves_discovery_runs_to_its_end() {
+    block_on(async {
+        let script = Script::SlowEvents(Duration::from_millis(200), 5);
+        let endpoint = Endpoint::spawn("e1", "desk", &[script]);
+        let other = Endpoint::spawn("e2", "other", &[Script::Hang]);
+        let gateway = GatewayFixture::start(&[&endpoint, &other]).await;
+        let mut caller = gateway.connect_caller().await;
+        caller.send(Method::POST, "/answers/", &[]).await.unwrap();
+        eventually(|| endpoint.received_requests().len() == 1).await;
+        // The endpoint was only silent: its entry lapses and comes back while the request runs.
+        gateway.feed.endpoint_removed("e1");
+        sleep(Duration::from_millis(300)).await;
+        gateway.feed.endpoint_updated(endpoint.entry.clone());
+        let (text, end) = caller.read_pieces().await;
+        assert_eq!((text, end.is_ok()), (events(1, 5), true));
+        assert_eq!((endpoint.received_requests().len(), endpoint.cancelled_requests()), (1, 0));
+    });
+}
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -57,6 +57,7 @@
     pub(crate) configuration: Configuration,
     caller_address: SocketAddr,
     ready_address: SocketAddr,
+    pub(crate) peer_address: SocketAddr,
 }
 
 /// A caller's connection.
@@ -105,13 +106,14 @@
     /// Starts a gateway that has received neither its configuration nor endpoints.
     pub(crate) async fn start_unconfigured(configuration: Configuration) -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let peer_address = free_address();
         let gateway = Gateway::bind(GatewaySettings {
             name: "test".to_owned(),
             zone: "tanta".to_owned(),
             listen: any_port,
             ready_listen: any_port,
             metrics_listen: None,
-            peer_listen: any_port,
+            peer_listen: peer_address,
             grace_ms: 8_000,
             configuration_max_age_ms: 60_000,
             propagation_bound_ms: 2_000,
@@ -126,7 +128,7 @@
             .expect("the OS assigns a free port");
         let feed = gateway.feed();
         monoio::spawn(gateway.until_stopped());
-        Self { feed, stop, configuration, caller_address, ready_address }
+        Self { feed, stop, configuration, caller_address, ready_address, peer_address }
     }
 
     pub(crate) fn list_endpoints(&self, endpoints: &[&Endpoint]) {
@@ -153,12 +155,23 @@
         self.connect_caller().await.request(Method::POST, path, &[]).await.expect("an answer")
     }
 
+    /// Returns the addresses of the TCP listeners: for callers, probes and other instances.
+    pub(crate) fn listeners(&self) -> [SocketAddr; 3] {
+        [self.caller_address, self.ready_address, self.peer_address]
+    }
+
     pub(crate) async fn ready_status(&self) -> StatusCode {
         let mut caller = Caller { conn: connect(self.ready_address).await.expect("it listens") };
         caller.request(Method::GET, "/readyz", &[]).await.expect("an answer").status
     }
 }
 
+/// Returns an address whose port the OS has just assigned and nobody uses.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("the OS assigns a free port");
+    listener.local_addr().expect("a bound socket has an address")
+}
+
 async fn connect(address: SocketAddr) -> Result<ClientConn, WireError> {
     Connector { address, timeout: WAIT_TIMEOUT }.connect().await
 }
