quota, decide: use beyond the nominal quota yields first; short work takes slots left to others

Change: a request of an organisation that is beyond its nominal rate and burst has the least urgent rank; the nominal bucket keeps no debt for what the tolerance admits. A request that ends within four ages of the others' loads uses a slot that is left to others. Tests: requests_beyond_the_nominal_quota_are_told_apart, only_short_work_uses_a_slot_that_is_left_to_another_scheduler.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -36,6 +36,9 @@
 const CAPACITY_WINDOW_MS: Millis = 2_000.0;
 /// Window over which a tier's share of the dispatched work is compared with its floor.
 const TIER_SHARE_WINDOW_MS: Millis = 5_000.0;
+/// The duration up to which a request counts as short, as a multiple of the mean age of the other
+/// schedulers' loads.
+const SHORT_WORK_LOAD_AGES: f64 = 4.0;
 /// Initial estimate of the time that a request spends at an endpoint.
 const DEFAULT_REQUEST_DURATION_MS: Millis = 1_000.0;
 /// The capacity of a pool is estimated to be at least this share of what its slots complete
@@ -309,11 +312,19 @@
         }
         let order = self.dispatch_order();
         order.into_iter().any(|rank| {
-            let has_slot = free > self.slots_left_to_peers(rank) || self.is_below_floor(rank);
-            has_slot && self.dispatch_from_tier(rank)
+            let leaves_slot = free <= self.slots_left_to_peers(rank) && !self.is_below_floor(rank);
+            self.dispatch_from_tier(rank, leaves_slot)
         })
     }
 
+    /// Returns whether a request ends so soon that a slot left free for another scheduler would
+    /// stay empty for about as long.
+    fn is_short(&self, req: &Descriptor, answer: f64) -> bool {
+        let prefill = f64::from(req.prompt_tokens) * self.prefill_ms_per_token.get();
+        let duration = self.base_ms.get() + prefill + answer * self.decode_ms_per_token.get();
+        duration <= SHORT_WORK_LOAD_AGES * self.mean_load_age_ms
+    }
+
     /// Returns the number of free slots that a request of the tier leaves to more urgent ones, which
     /// wait at other schedulers.
     ///
@@ -344,13 +355,18 @@
         own < all * self.policy.floor(rank)
     }
 
-    fn dispatch_from_tier(&mut self, rank: Rank) -> bool {
-        self.queue.heads(rank).into_iter().any(|ticket| self.dispatch_ticket(ticket))
+    /// Dispatches a request of the tier; with `only_short`, one that is short.
+    fn dispatch_from_tier(&mut self, rank: Rank, only_short: bool) -> bool {
+        let heads = self.queue.heads(rank);
+        heads.into_iter().any(|ticket| self.dispatch_ticket(ticket, only_short))
     }
 
-    fn dispatch_ticket(&mut self, ticket: Ticket) -> bool {
+    fn dispatch_ticket(&mut self, ticket: Ticket, only_short: bool) -> bool {
         let Some(waiting) = self.queue.get(ticket) else { return false };
         let answer = self.answer_tokens(&waiting.descriptor);
+        if only_short && !self.is_short(&waiting.descriptor, answer) {
+            return false;
+        }
         let Some(chosen) = self.chooser().choose(&waiting.descriptor, answer) else { return false };
         let Some(waiting) = self.queue.dispatch(ticket) else { return false };
         self.send(ticket, waiting, chosen);
--- a/crates/decide/tests/sharing.rs
+++ b/crates/decide/tests/sharing.rs
@@ -144,6 +144,29 @@
     assert!(count_dispatched(&mut cores[0]) >= 2);
 }
 
+/// The load is that of a full pool in which an urgent request waits at another scheduler, and the
+/// others' loads are 50 ms old.
+#[test]
+fn only_short_work_uses_a_slot_that_is_left_to_another_scheduler() {
+    let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+    let key = arena.insert(());
+    for (answer_tokens, dispatched) in [(1, 1), (1_000, 0)] {
+        let mut core = Core::new(Policy { adaptive_limit: false, ..Policy::default() });
+        let spec = EndpointSpec { slots: SLOTS, cache_blocks: 0, is_in_other_zone: false };
+        core.handle(0.0, Event::EndpointJoined(key, spec));
+        update_peer_loads(&mut core, 0.0, &[key], SLOTS - 1);
+        let waiting = [(0, 1)].into_iter().collect();
+        let update = Event::PeersUpdated { pool_share: 0.5, mean_load_age_ms: 50.0, waiting };
+        core.handle(0.0, update);
+        let request = Descriptor { rank: 2, answer_tokens, ..descriptor(0.0, 0, None) };
+        // A request of the tier's floor is dispatched in any case; this one is beyond it.
+        core.handle(0.0, Event::Adopt(Ticket(1), key, Descriptor { rank: 2, ..request.clone() }));
+        core.handle(0.0, Event::End(Ticket(1), Ending::Complete { answer_tokens: 1 }));
+        core.handle(0.0, Event::Offer(Ticket(2), request));
+        assert_eq!(count_dispatched(&mut core), dispatched, "{answer_tokens} tokens");
+    }
+}
+
 #[test]
 fn empty_endpoints_accept_work_beyond_the_share() {
     let mut arena: SlotMap<EndpointKey, ()> = SlotMap::with_key();
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -37,6 +37,11 @@
 }
 
 impl QuotaTolerance {
+    /// Returns the tolerance with the same window that allows no excess.
+    pub(crate) fn without_excess(self) -> Self {
+        Self { overshoot: 0.0, units: 0.0, ..self }
+    }
+
     /// Returns the number of units that the fleet may admit in any window.
     pub(crate) fn units_per_window(&self, quota: &Quota) -> f64 {
         let nominal = quota.per_s * self.window_ms / 1_000.0 + quota.burst;
@@ -165,6 +170,11 @@
         self.level = (self.level - units).min(self.capacity());
     }
 
+    /// Limits the debt to none, for a bucket that does not count what the tolerance admits.
+    pub(crate) fn forgive_debt(&mut self) {
+        self.level = self.level.max(0.0);
+    }
+
     /// Returns this instance's totals, to be sent to other instances.
     pub(crate) fn totals(&self, organisation: u32) -> QuotaTotals {
         let (admitted_before, offered_before) = self.before_activity;
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -10,7 +10,7 @@
 use std::{rc::Rc, time::Duration};
 
 use baobabvane_decide::{
-    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, Policy,
+    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, Policy, Rank,
     Ticket, Why,
 };
 use baobabvane_tasks::Mailbox;
@@ -18,7 +18,7 @@
 use monoio::time::Instant;
 use rustc_hash::FxHashMap;
 
-use self::fleet::FleetState;
+use self::fleet::{FleetState, Standing};
 pub(crate) use self::placement::{Grant, PlacementRequest, QuotaCharge, Refused, id_hash};
 use crate::{
     configuration::{Configuration, DiscoveredEndpoint, Engine},
@@ -31,6 +31,8 @@
 /// The interval at which the scheduler applies due removals of endpoints, and tells the cores
 /// the time and the state of the other instances.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// The rank of requests of organisations that use the tolerance of their quota; least urgent.
+const TOLERANCE_RANK: Rank = Rank::MAX;
 /// The number of tokens in one block of a prompt prefix; shared prefixes are rounded to
 /// whole blocks.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
@@ -206,16 +208,22 @@
 
     fn place(&mut self, request: PlacementRequest, reply: oneshot::Sender<Result<Grant, Refused>>) {
         let now = self.now();
-        if let Err(refused) = self.admit(&request, now) {
-            let _ = reply.send(Err(refused));
-            return;
-        }
+        let standing = match self.admit(&request, now) {
+            Ok(standing) => standing,
+            Err(refused) => {
+                let _ = reply.send(Err(refused));
+                return;
+            }
+        };
         let PlacementRequest { ticket, pool, descriptor, quota_charge, .. } = request;
         self.requests.insert(
             ticket,
             TrackedRequest { pool: Rc::clone(&pool), quota_charge, reply: Some(reply) },
         );
         let mut descriptor = descriptor;
+        if standing == Standing::UsesTolerance {
+            descriptor.rank = TOLERANCE_RANK;
+        }
         // Times in the descriptor count from this message; the core's times count from the
         // start of the scheduler.
         descriptor.deadline += now;
@@ -227,16 +235,21 @@
     }
 
     /// Charges a first attempt to the quota and a retry to the retry budget.
-    fn admit(&mut self, request: &PlacementRequest, now: f64) -> Result<(), Refused> {
+    fn admit(&mut self, request: &PlacementRequest, now: f64) -> Result<Standing, Refused> {
         let instances = self.fleet.known_instances();
         let budget = self.budget;
         let pool = self.pool(&request.pool);
         if request.is_retry {
             let allowed = pool.retry_window.try_record_retry(&budget, instances, now);
-            return if allowed { Ok(()) } else { Err(Refused::RetryBudget) };
+            return match allowed {
+                true => Ok(Standing::WithinNominal),
+                false => Err(Refused::RetryBudget),
+            };
         }
         pool.retry_window.record_request(&budget, now);
-        let Some(quota_charge) = &request.quota_charge else { return Ok(()) };
+        let Some(quota_charge) = &request.quota_charge else {
+            return Ok(Standing::WithinNominal);
+        };
         self.fleet.admit(quota_charge, rand::random(), now).map_err(Refused::Quota)
     }
 
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -37,9 +37,39 @@
 struct OrganisationUse {
     quota: Quota,
     bucket: QuotaBucket,
+    /// A bucket without the tolerance, which tells whether the organisation exceeds its nominal
+    /// rate and burst.
+    nominal: QuotaBucket,
     window: QuotaWindow,
 }
 
+/// Whether an organisation keeps to the nominal rate and burst of its quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// It does, or it has no quota.
+    WithinNominal,
+    /// It uses the tolerance, and yields to the others under overload.
+    UsesTolerance,
+}
+
+impl OrganisationUse {
+    fn set_quota(&mut self, quota: Quota, tolerance: QuotaTolerance, now: f64) {
+        self.bucket.set_quota(quota, tolerance, now);
+        self.nominal.set_quota(quota, tolerance.without_excess(), now);
+    }
+
+    fn set_live_share(&mut self, share: f64, now: f64) {
+        self.bucket.set_live_share(share, now);
+        self.nominal.set_live_share(share, now);
+    }
+
+    fn charge_remote_use(&mut self, units: f64, now: f64) {
+        self.bucket.charge_remote_use(units, now);
+        self.nominal.charge_remote_use(units, now);
+        self.nominal.forgive_debt();
+    }
+}
+
 /// The organisations' use of their quotas, the state from each peer's latest heartbeat, and the
 /// numbers of live and known instances.
 #[derive(Debug)]
@@ -82,12 +112,13 @@
             let new = || OrganisationUse {
                 quota,
                 bucket: QuotaBucket::new(quota, self.tolerance, now),
+                nominal: QuotaBucket::new(quota, self.tolerance.without_excess(), now),
                 window: QuotaWindow::default(),
             };
             let mut used = self.organisations.remove(&hash).unwrap_or_else(new);
             used.quota = quota;
-            used.bucket.set_quota(quota, self.tolerance, now);
-            used.bucket.set_live_share(self.live_share, now);
+            used.set_quota(quota, self.tolerance, now);
+            used.set_live_share(self.live_share, now);
             kept.insert(hash, used);
         }
         self.organisations = kept;
@@ -97,7 +128,7 @@
     pub(super) fn set_quota_tolerance(&mut self, tolerance: QuotaTolerance, now: f64) {
         self.tolerance = tolerance;
         for used in self.organisations.values_mut() {
-            used.bucket.set_quota(used.quota, tolerance, now);
+            used.set_quota(used.quota, tolerance, now);
         }
     }
 
@@ -110,10 +141,12 @@
         charge: &QuotaCharge,
         draw: f64,
         now: f64,
-    ) -> Result<(), QuotaRefusal> {
+    ) -> Result<Standing, QuotaRefusal> {
         let zone_age_ms = self.mean_age_ms(now, |p| p.zone == self.zone);
         let hash = id_hash(&charge.organisation.name);
-        let Some(used) = self.organisations.get_mut(&hash) else { return Ok(()) };
+        let Some(used) = self.organisations.get_mut(&hash) else {
+            return Ok(Standing::WithinNominal);
+        };
         used.window.expire_reports(now);
         let units = charge.units;
         let window_ms = self.tolerance.window_ms;
@@ -146,7 +179,11 @@
             report_age_ms: zone_age_ms,
         })?;
         used.window.add(units, 0.0, window_ms, now);
-        Ok(())
+        let standing = match used.nominal.admit(units, now) {
+            Ok(()) => Standing::WithinNominal,
+            Err(_) => Standing::UsesTolerance,
+        };
+        Ok(standing)
     }
 
     /// Returns the mean age in milliseconds of the latest heartbeats of the peers that `counts`
@@ -182,7 +219,7 @@
             };
             let Some(used) = self.organisations.get_mut(&totals.organisation) else { continue };
             let admitted = totals.admitted - before.0;
-            used.bucket.charge_remote_use(admitted, now);
+            used.charge_remote_use(admitted, now);
             if state.zone == self.zone {
                 let offered = totals.offered - before.1;
                 used.window.add(admitted, offered, self.tolerance.window_ms, now);
@@ -210,7 +247,7 @@
         self.live_instances = live.max(1);
         self.live_share = f64::from(live.max(1)) / f64::from(self.known_instances);
         for used in self.organisations.values_mut() {
-            used.bucket.set_live_share(self.live_share, now);
+            used.set_live_share(self.live_share, now);
         }
     }
 
@@ -349,6 +386,26 @@
         assert!(fleet.admit(&charge, 0.5, 8_500.0).is_ok());
     }
 
+    #[test]
+    fn requests_beyond_the_nominal_quota_are_told_apart() {
+        let quota = Quota { unit: QuotaUnit::Requests, per_s: 10.0, burst: 10.0 };
+        let org = Organisation { quota: Some(quota), ..organisation_with_quota() };
+        let mut fleet = FleetState::new(ZONE);
+        let tolerance = QuotaTolerance { overshoot: 0.5, ..QuotaTolerance::default() };
+        fleet.set_quota_tolerance(tolerance, 0.0);
+        fleet.configure(std::slice::from_ref(&org), 0.0);
+        fleet.set_instance_counts(1, 1, 0.0);
+        let charge = QuotaCharge { organisation: Rc::new(org), units: 1.0 };
+        let standings: Vec<_> =
+            (0..20).map_while(|_| fleet.admit(&charge, 0.5, 9_000.0).ok()).collect();
+        let within = standings.iter().take_while(|s| **s == Standing::WithinNominal).count();
+        assert_eq!(within, 10);
+        assert!(standings.len() > within);
+        assert!(standings[within..].iter().all(|s| *s == Standing::UsesTolerance));
+        // The nominal rate is available again, as the tolerance leaves no debt in it.
+        assert_eq!(fleet.admit(&charge, 0.5, 9_200.0).ok(), Some(Standing::WithinNominal));
+    }
+
     /// A fleet in six zones, in which an instance hears an instance of its zone every 200 ms and
     /// one of another zone every 3.3 s, as in the largest fleets.
     struct SimulatedFleet {
@@ -422,7 +479,7 @@
                 let at = self.random.random_range(0..self.instances.len());
                 let draw = self.random.random();
                 match self.instances[at].admit(&self.charge, draw, f64::from(ms)) {
-                    Ok(()) => self.admitted_at.push(f64::from(ms)),
+                    Ok(_) => self.admitted_at.push(f64::from(ms)),
                     Err(_) => self.refused += 1,
                 }
             }
