quota: a refused request is refunded to the nominal bucket it was charged to

Cause, seen when reading the change: requests refused for load drained the nominal bucket, so that an organisation within its quota got the least urgent rank. Change: the refund goes to that bucket if the request was charged to it. Test: requests_beyond_the_nominal_quota_are_told_apart has the refund now.

--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -95,6 +95,7 @@
 struct TrackedRequest {
     pool: Rc<str>,
     quota_charge: Option<QuotaCharge>,
+    standing: Standing,
     reply: Option<oneshot::Sender<Result<Grant, Refused>>>,
 }
 
@@ -218,7 +219,7 @@
         let PlacementRequest { ticket, pool, descriptor, quota_charge, .. } = request;
         self.requests.insert(
             ticket,
-            TrackedRequest { pool: Rc::clone(&pool), quota_charge, reply: Some(reply) },
+            TrackedRequest { pool: Rc::clone(&pool), quota_charge, standing, reply: Some(reply) },
         );
         let mut descriptor = descriptor;
         if standing == Standing::UsesTolerance {
@@ -268,7 +269,7 @@
     fn refund_quota(&mut self, request: &TrackedRequest) {
         let now = self.now();
         if let Some(quota_charge) = &request.quota_charge {
-            self.fleet.refund_quota(quota_charge, now);
+            self.fleet.refund_quota(quota_charge, request.standing, now);
         }
     }
 
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -196,10 +196,15 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
-    pub(super) fn refund_quota(&mut self, charge: &QuotaCharge, now: f64) {
-        if let Some(used) = self.organisations.get_mut(&id_hash(&charge.organisation.name)) {
-            used.bucket.refund(charge.units);
-            used.window.add(-charge.units, 0.0, self.tolerance.window_ms, now);
+    /// Refunds a charge whose request was sent to no endpoint; `standing` is what it was admitted
+    /// with.
+    pub(super) fn refund_quota(&mut self, charge: &QuotaCharge, standing: Standing, now: f64) {
+        let hash = id_hash(&charge.organisation.name);
+        let Some(used) = self.organisations.get_mut(&hash) else { return };
+        used.bucket.refund(charge.units);
+        used.window.add(-charge.units, 0.0, self.tolerance.window_ms, now);
+        if standing == Standing::WithinNominal {
+            used.nominal.refund(charge.units);
         }
     }
 
@@ -402,7 +407,12 @@
         assert_eq!(within, 10);
         assert!(standings.len() > within);
         assert!(standings[within..].iter().all(|s| *s == Standing::UsesTolerance));
-        // The nominal rate is available again, as the tolerance leaves no debt in it.
+        // A refund makes the nominal quota available again only if it was charged to it.
+        fleet.refund_quota(&charge, Standing::UsesTolerance, 9_000.0);
+        assert_eq!(fleet.admit(&charge, 0.5, 9_000.0).ok(), Some(Standing::UsesTolerance));
+        fleet.refund_quota(&charge, Standing::WithinNominal, 9_000.0);
+        assert_eq!(fleet.admit(&charge, 0.5, 9_000.0).ok(), Some(Standing::WithinNominal));
+        // Time does, too, as the tolerance leaves no debt in it.
         assert_eq!(fleet.admit(&charge, 0.5, 9_200.0).ok(), Some(Standing::WithinNominal));
     }
 
