quota: a zone that has used little assumes an even spread of demand

Near a limit, the fleet's demand is extrapolated from the own zone by the ratio of their uses. After a restart a zone has used next to nothing, so the estimate is a hundredfold, nearly nothing is admitted, and the zone's use stays at that. Change: the ratio is at most that of an even spread over the instances. Test: zone_that_has_used_little_does_not_overestimate_the_demand.

--- a/crates/gateway/src/quota/window.rs
+++ b/crates/gateway/src/quota/window.rs
@@ -74,6 +74,8 @@
     pub(crate) units: f64,
     /// The hash of the name of this instance's zone.
     pub(crate) own_zone: u32,
+    /// The zone's share of the known instances; greater than 0 and at most 1.
+    pub(crate) own_zone_share: f64,
     /// The mean age of the heartbeats of other instances of this zone, in milliseconds.
     pub(crate) zone_age_ms: f64,
 }
@@ -142,7 +144,9 @@
             count => 2.0 * zone_age_ms + ages.iter().sum::<f64>() / count as f64,
         }
         .max(MIN_LAG_MS);
-        let fleet_per_own = if own > 0.0 { fleet / own } else { 1.0 };
+        // Use is a poor measure of a zone's part of the demand while the zone has used little, as
+        // after a restart; then an even spread over the instances is assumed.
+        let fleet_per_own = (fleet / own.max(f64::MIN_POSITIVE)).min(1.0 / limit.own_zone_share);
         let demand = self.peak_demand(window_ms) * fleet_per_own;
         let left = limit.units - fleet;
         if demand * lag_ms + units <= left || fleet == 0.0 {
@@ -177,3 +181,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn zone_that_has_used_little_does_not_overestimate_the_demand() {
+        let mut window = QuotaWindow::default();
+        let window_ms = 8_000.0;
+        // This zone admitted one small request of many, and another zone reports much use.
+        window.report(2, 30_000.0, 1_000.0);
+        window.add(200.0, 200.0, window_ms, 1_000.0);
+        for _ in 0..5 {
+            window.add(0.0, 3_000.0, window_ms, 1_000.0);
+        }
+        let limit = WindowLimit {
+            window_ms,
+            units: 400_000.0,
+            own_zone: 1,
+            own_zone_share: 0.5,
+            zone_age_ms: 100.0,
+        };
+        assert_eq!(window.admission(3_000.0, &limit, 1_000.0).share, 1.0);
+    }
+}
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -160,6 +160,7 @@
             window_ms,
             units: units_per_window * (1.0 - unreported_share * REPORTED_USE_SHARE),
             own_zone: self.zone,
+            own_zone_share: self.zone_shares.get(&self.zone).copied().unwrap_or(1.0).min(1.0),
             zone_age_ms,
         };
         used.bucket.record_offer(units, now);
