directory: log lines for outages of discovery and delayed removals

An instance may keep an endpoint that discovery no longer lists, after an outage of the store.

Adds discovery_lost, discovery_regained and removal_delayed. No decision changes.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -50,7 +50,8 @@
     pending_removals: FxHashMap<String, f64>,
     /// Removals that are received after an outage and before this time are delayed until then.
     removals_delayed_until_ms: f64,
-    is_discovery_unreachable: bool,
+    /// The time at which discovery became unreachable; `None` while it is reachable.
+    unreachable_since_ms: Option<f64>,
 }
 
 impl Directory {
@@ -67,14 +68,22 @@
     }
 
     /// Records that discovery is unreachable; known endpoints stay in use.
-    pub(crate) fn set_discovery_unreachable(&mut self) {
-        self.is_discovery_unreachable = true;
+    pub(crate) fn set_discovery_unreachable(&mut self, now_ms: f64) {
+        if self.unreachable_since_ms.is_none() {
+            self.unreachable_since_ms = Some(now_ms);
+            log::warn!("event=discovery_lost endpoints={}", self.endpoints.len());
+        }
     }
 
     /// Records an answer of discovery; the first one after an outage starts the removal delay.
     pub(crate) fn record_discovery_answer(&mut self, now_ms: f64) {
-        if std::mem::take(&mut self.is_discovery_unreachable) {
+        if let Some(since) = self.unreachable_since_ms.take() {
             self.removals_delayed_until_ms = now_ms + REMOVAL_DELAY_MS;
+            log::info!(
+                "event=discovery_regained outage_ms={:.0} pending_removals={}",
+                now_ms - since,
+                self.pending_removals.len()
+            );
         }
     }
 
@@ -107,9 +116,16 @@
     /// after it for the rest of [`REMOVAL_DELAY_MS`].
     pub(crate) fn remove_or_delay(&mut self, id: &str, now_ms: f64) -> Option<EndpointChange> {
         let key = self.key_of(id)?;
-        if self.is_discovery_unreachable || now_ms < self.removals_delayed_until_ms {
+        if self.unreachable_since_ms.is_some() || now_ms < self.removals_delayed_until_ms {
             let due = self.removals_delayed_until_ms.max(now_ms);
-            self.pending_removals.entry(id.to_owned()).or_insert(due);
+            if !self.pending_removals.contains_key(id) {
+                self.pending_removals.insert(id.to_owned(), due);
+                log::info!(
+                    "event=removal_delayed endpoint={id} is_discovery_lost={} delay_ms={:.0}",
+                    self.unreachable_since_ms.is_some(),
+                    due - now_ms
+                );
+            }
             return None;
         }
         self.remove(key)
@@ -154,7 +170,7 @@
 
     /// Applies the delayed removals that are due; none is due during an outage.
     pub(crate) fn apply_due_removals(&mut self, now_ms: f64) -> Vec<EndpointChange> {
-        if self.is_discovery_unreachable {
+        if self.unreachable_since_ms.is_some() {
             return Vec::new();
         }
         let due: Vec<String> = self
@@ -218,7 +234,7 @@
         let mut directory = Directory::default();
         directory.upsert(endpoint("a"));
         directory.upsert(endpoint("b"));
-        directory.set_discovery_unreachable();
+        directory.set_discovery_unreachable(0.0);
         directory.record_discovery_answer(1_000.0);
         assert_eq!(directory.remove_or_delay("a", 1_001.0), None);
         assert_eq!(directory.remove_or_delay("b", 1_002.0), None);
@@ -255,7 +271,7 @@
     fn a_pending_removal_is_not_a_new_endpoint_to_a_peer() {
         let (mut delaying, mut after_removal) = (Directory::default(), Directory::default());
         delaying.upsert(endpoint("a"));
-        delaying.set_discovery_unreachable();
+        delaying.set_discovery_unreachable(0.0);
         delaying.record_discovery_answer(1_000.0);
         delaying.remove_or_delay("a", 1_001.0);
         // A peer that has already removed the endpoint does not add it again.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -175,7 +175,7 @@
                 let changes = self.directory.replace_all(list, now);
                 self.apply_endpoint_changes(changes);
             }
-            SchedulerMessage::DiscoveryUnreachable => self.directory.set_discovery_unreachable(),
+            SchedulerMessage::DiscoveryUnreachable => self.directory.set_discovery_unreachable(now),
             SchedulerMessage::DiscoveryReachable => self.directory.record_discovery_answer(now),
             SchedulerMessage::Place(request, reply) => self.place(*request, reply),
             SchedulerMessage::CancelPlacement(ticket) => self.cancel_placement(ticket),
