directory: an outage of discovery ends when any instance reads it

Cause: while discovery is unreachable, an instance delays the removal of endpoints, as their entries may have expired in the outage. Only a read of its own ended that state. After an outage, however, two instances read the store for all others; those that had not succeeded before these were back never read again, and delayed each removal that they learned of from the others' lists without end.

Change: heartbeats carry how long ago the store was read, by the sender or the readers that it knows of. A read after the beginning of the outage ends it, and the removal delay counts from that read.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -75,16 +75,21 @@
         }
     }
 
-    /// Records an answer of discovery; the first one after an outage starts the removal delay.
-    pub(crate) fn record_discovery_answer(&mut self, now_ms: f64) {
-        if let Some(since) = self.unreachable_since_ms.take() {
-            self.removals_delayed_until_ms = now_ms + REMOVAL_DELAY_MS;
-            log::info!(
-                "event=discovery_regained outage_ms={:.0} pending_removals={}",
-                now_ms - since,
-                self.pending_removals.len()
-            );
-        }
+    /// Records that discovery answered at `answered_at_ms`, here or at another instance.
+    ///
+    /// The first answer after an outage ends it and starts the removal delay. Answers to other
+    /// instances count because an instance that follows them does not read discovery itself.
+    pub(crate) fn record_discovery_answer(&mut self, answered_at_ms: f64) {
+        let Some(since) = self.unreachable_since_ms.filter(|since| answered_at_ms > *since) else {
+            return;
+        };
+        self.unreachable_since_ms = None;
+        self.removals_delayed_until_ms = answered_at_ms + REMOVAL_DELAY_MS;
+        log::info!(
+            "event=discovery_regained outage_ms={:.0} pending_removals={}",
+            answered_at_ms - since,
+            self.pending_removals.len()
+        );
     }
 
     /// Adds an endpoint or updates its entry, and cancels its pending removal.
@@ -245,6 +250,18 @@
         assert!(directory.key_of("a").is_some());
     }
 
+    #[test]
+    fn an_outage_ends_only_with_an_answer_after_its_beginning() {
+        let mut directory = Directory::default();
+        directory.upsert(endpoint("a"));
+        directory.set_discovery_unreachable(1_000.0);
+        directory.record_discovery_answer(900.0);
+        assert_eq!(directory.remove_or_delay("a", 1_100.0), None);
+        assert_eq!(directory.apply_due_removals(9_000.0), []);
+        directory.record_discovery_answer(9_000.0);
+        assert_eq!(directory.apply_due_removals(9_100.0).len(), 1);
+    }
+
     #[test]
     fn a_restart_under_the_same_id_is_a_new_endpoint() {
         let mut directory = Directory::default();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -92,6 +92,9 @@
     pub zone: u32,
     /// A random number that the instance draws at each start; incarnations have no order.
     pub incarnation: u64,
+    /// The time since the store was last read, by that instance or one that it reported, in
+    /// milliseconds; `None` if it knows of no read.
+    pub store_read_age_ms: Option<u64>,
     /// The reported state.
     pub local: LocalState,
 }
@@ -247,6 +250,7 @@
             peer: heartbeat.from,
             zone: heartbeat.zone,
             incarnation: heartbeat.incarnation,
+            store_read_age_ms: heartbeat.newest_store_read_age_ms(),
             local: heartbeat.local,
         };
         self.scheduler.send(SchedulerMessage::PeerReport(state));
--- a/crates/gateway/src/peer/heartbeat.rs
+++ b/crates/gateway/src/peer/heartbeat.rs
@@ -46,6 +46,13 @@
 }
 
 impl Heartbeat {
+    /// Returns the time since the store was last read, by the sender or one of the readers that it
+    /// reports, in milliseconds.
+    pub(super) fn newest_store_read_age_ms(&self) -> Option<u64> {
+        let relayed = self.store_readers.iter().map(|reader| reader.read_age_ms);
+        relayed.chain(self.freshness.store_read_age_ms).min()
+    }
+
     pub(super) fn encode(&self, key: &SharedKey) -> Vec<u8> {
         encode_authenticated(self, key)
     }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -194,7 +194,12 @@
                 let change = self.directory.remove_misdirected(key);
                 self.apply_endpoint_changes(change);
             }
-            SchedulerMessage::PeerReport(state) => self.fleet.record_heartbeat(state, now),
+            SchedulerMessage::PeerReport(state) => {
+                if let Some(age_ms) = state.store_read_age_ms {
+                    self.directory.record_discovery_answer(now - age_ms as f64);
+                }
+                self.fleet.record_heartbeat(state, now);
+            }
             SchedulerMessage::InstanceCounts { live, known } => {
                 self.fleet.set_instance_counts(live, known, now)
             }
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -370,7 +370,13 @@
 
     fn heartbeat(quota_totals: &[QuotaTotals]) -> PeerState {
         let local = LocalState { quota_totals: quota_totals.to_vec(), ..LocalState::default() };
-        PeerState { peer: ([127, 0, 0, 1], 7600).into(), zone: ZONE, incarnation: 1, local }
+        PeerState {
+            peer: ([127, 0, 0, 1], 7600).into(),
+            zone: ZONE,
+            incarnation: 1,
+            store_read_age_ms: None,
+            local,
+        }
     }
 
     #[test]
@@ -523,6 +529,7 @@
                     peer: ([127, 0, 0, 1], from as u16).into(),
                     zone: self.zone(from),
                     incarnation: 1,
+                    store_read_age_ms: None,
                     local: local.clone(),
                 };
                 self.instances[*receiver].record_heartbeat(state, now);
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -16,7 +16,7 @@
 
 pub(crate) const HOST: &str = "desk.example";
 /// Timeout of connections and of [`eventually`]; long enough for a busy machine.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How much of an answer without end the gateway may take, with what the sockets buffer; far less
 /// than the memory of the smallest instance.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 
 mod callers;
+mod discovery;
 mod retries;
 mod stopping;
 mod streams;
