gateway: broken attempts log whether an answer had begun and what the prompt shares

For BUDGET, the log could not tell crashes that one part of a prompt causes from other broken connections. endpoint_failed now has endpoint, has_begun and shared_parts, the hashes of the prompt's parts but the last. No decision changes.

--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -23,6 +23,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OrgId(pub u64);
 
+/// Identifies a part of a prompt by the hash of its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PromptPart(pub u32);
+
 /// Identifies a group of requests, such as a route, whose answers have similar lengths; the
 /// driver allocates it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -40,8 +40,8 @@
     core::{Core, Counts},
     event::{
         Action, Choice, Descriptor, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event,
-        FailedAt, KindId, LatencyGoal, LoadReport, Millis, OrgId, PrefixBlocks, Rank, Refusal,
-        Speed, Ticket, WaitingCounts, Why,
+        FailedAt, KindId, LatencyGoal, LoadReport, Millis, OrgId, PrefixBlocks, PromptPart, Rank,
+        Refusal, Speed, Ticket, WaitingCounts, Why,
     },
     policy::{Placement, Policy, TierPolicy},
 };
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -335,7 +335,12 @@
         let previous_verdict = self.verdict.replace(Verdict::MayHaveRun);
         let AdmittedRequest { method, uri, body, .. } = &self.request;
         if let Err(e) = upstream.send(method, uri, &headers, body.clone()).await {
-            return Err(self.connection_failed(in_flight, "the request could not be sent", &e));
+            return Err(self.connection_failed(
+                grant,
+                in_flight,
+                "the request could not be sent",
+                &e,
+            ));
         }
         let read_head = self.read_head(&mut upstream);
         let head = match self.silence_timeout() {
@@ -344,7 +349,7 @@
         };
         let head = match head {
             Ok(Ok(head)) => head,
-            Ok(Err(e)) => return Err(self.connection_failed(in_flight, "no answer", &e)),
+            Ok(Err(e)) => return Err(self.connection_failed(grant, in_flight, "no answer", &e)),
             Err(_) => {
                 in_flight.end(Ending::Failed);
                 return Err(AttemptFailure::MayHaveRun("the endpoint is silent"));
@@ -395,12 +400,13 @@
 
     fn connection_failed(
         &self,
+        grant: &Grant,
         in_flight: InFlightRequest,
         cause: &'static str,
         error: &WireError,
     ) -> AttemptFailure {
+        self.log_endpoint_failed(&grant.id, in_flight.has_response_started(), cause, error);
         in_flight.end(Ending::Failed);
-        self.log("endpoint_failed", format_args!("cause={cause:?} error={:?}", error.to_string()));
         AttemptFailure::MayHaveRun(cause)
     }
 
@@ -461,7 +467,9 @@
     ) -> Result<EndpointResponse, AttemptFailure> {
         let body = match self.read_body(&mut upstream).await {
             Ok(body) => body,
-            Err(e) => return Err(self.connection_failed(in_flight, "the answer broke off", &e)),
+            Err(e) => {
+                return Err(self.connection_failed(grant, in_flight, "the answer broke off", &e));
+            }
         };
         let (mut parts, ()) = head.into_parts();
         let is_success = parts.status.is_success();
--- a/crates/gateway/src/caller/flight.rs
+++ b/crates/gateway/src/caller/flight.rs
@@ -40,6 +40,10 @@
         }
     }
 
+    pub(super) fn has_response_started(&self) -> bool {
+        self.has_response_started
+    }
+
     /// Notifies the scheduler how the request ended at the endpoint.
     pub(super) fn end(mut self, ending: Ending) {
         self.has_ended = true;
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -103,7 +103,7 @@
     stream: Box<ResponseStream>,
     parser: &mut EventParser,
 ) -> RelayEnd {
-    let ResponseStream { head, mut upstream, mut in_flight, endpoint, .. } = *stream;
+    let ResponseStream { head, mut upstream, mut in_flight, endpoint, endpoint_id } = *stream;
     let forwarded_before = parser.forwarded_events();
     let mut last_event_at = Instant::now();
     loop {
@@ -144,9 +144,11 @@
                 return RelayEnd::Complete;
             }
             Err(e) => {
+                const CAUSE: &str = "the stream broke off";
+                let has_begun = in_flight.has_response_started();
+                exchange.log_endpoint_failed(&endpoint_id, has_begun, CAUSE, &e);
                 in_flight.end(Ending::Failed);
-                exchange.log("endpoint_failed", format_args!("error={:?}", e.to_string()));
-                return RelayEnd::Broken("the stream broke off");
+                return RelayEnd::Broken(CAUSE);
             }
         }
     }
--- a/crates/gateway/src/caller/report.rs
+++ b/crates/gateway/src/caller/report.rs
@@ -1,7 +1,7 @@
 //! Log lines and metrics of a request; each line carries the request's id.
 
 use baobabvane_domain::Verdict;
-use baobabvane_wire::Response;
+use baobabvane_wire::{Response, WireError};
 
 use super::{
     admission::AdmittedRequest,
@@ -64,6 +64,25 @@
         );
     }
 
+    /// Logs a broken connection. If no answer had begun, the request may have ended the endpoint;
+    /// the shared parts of its prompt then tell what it has in common with others.
+    pub(super) fn log_endpoint_failed(
+        &self,
+        endpoint_id: &str,
+        has_begun: bool,
+        cause: &str,
+        error: &WireError,
+    ) {
+        self.log(
+            "endpoint_failed",
+            format_args!(
+                "endpoint={endpoint_id} cause={cause:?} error={:?} has_begun={has_begun} shared_parts={}",
+                error.to_string(),
+                self.request.prompt.shared_parts,
+            ),
+        );
+    }
+
     pub(super) fn log_answered(&self, res: &Response) {
         self.record_outcome("answered");
         self.log(
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -4,15 +4,19 @@
 //! fill. The scheduler uses the hashes to choose an endpoint that has the blocks in its prefix
 //! cache.
 
-use std::hash::{Hash, Hasher};
+use std::{
+    fmt,
+    hash::{Hash, Hasher},
+    rc::Rc,
+};
 
-use baobabvane_decide::PrefixBlocks;
+use baobabvane_decide::{PrefixBlocks, PromptPart};
 use http::HeaderMap;
 use rustc_hash::FxHasher;
 
 use crate::{
     headers::{self, HeaderNames},
-    scheduler::BLOCK_TOKENS,
+    scheduler::{BLOCK_TOKENS, id_hash},
 };
 
 /// Size and prefix of a prompt; zero and empty for a request that states none or whose route is
@@ -29,6 +33,21 @@
     pub(crate) has_length_hint: bool,
     /// Hashes of the prompt's complete blocks; each covers all blocks up to its own.
     pub(crate) prefix_blocks: PrefixBlocks,
+    /// The parts that other prompts may have too: all but the last one.
+    pub(crate) shared_parts: SharedParts,
+}
+
+/// The parts of a prompt but the last one; written to logs as hexadecimal hashes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct SharedParts(pub(crate) Rc<[PromptPart]>);
+
+impl fmt::Display for SharedParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, part) in self.0.iter().enumerate() {
+            write!(f, "{}{:08x}", if i > 0 { "," } else { "" }, part.0)?;
+        }
+        Ok(())
+    }
 }
 
 impl Prompt {
@@ -47,6 +66,7 @@
             expected_answer_tokens,
             has_length_hint,
             prefix_blocks: prefix_blocks(parts),
+            shared_parts: shared_parts(parts),
         }
     }
 
@@ -64,6 +84,14 @@
     Some((tokens.trim().parse().ok()?, max_answer_tokens.trim().parse().ok()?))
 }
 
+/// Returns the parts that are not the request's own, by the hashes of their ids.
+fn shared_parts(parts: &str) -> SharedParts {
+    let ids = parts.split(',').filter_map(|part| Some(part.trim().split_once(':')?.0));
+    let mut hashes: Vec<PromptPart> = ids.map(|id| PromptPart(id_hash(id))).collect();
+    hashes.pop();
+    SharedParts(hashes.into())
+}
+
 /// Hashes the parts of a prompt, written as `ID:TOKENS`, in blocks of equal size.
 ///
 /// A part that does not fill a block shares it with the next one; an incomplete last block is
@@ -100,6 +128,14 @@
         assert_ne!(a[5], b[5]);
     }
 
+    #[test]
+    fn last_part_is_the_requests_own() {
+        let shared = shared_parts("5c1e:1024, 91bd:512,aa:7");
+        assert_eq!(*shared.0, [PromptPart(id_hash("5c1e")), PromptPart(id_hash("91bd"))]);
+        assert_eq!(shared_parts("5c1e:1024"), SharedParts::default());
+        assert_eq!(shared_parts(""), SharedParts::default());
+    }
+
     #[test]
     fn malformed_parts_are_skipped() {
         assert_eq!(prefix_blocks("").len(), 0);
