decide: quarantine of prompt parts that crash endpoints

One part of a prompt ended each engine that began to answer it.

Cause: an endpoint's crash was the matter of the requests that it broke off, each on its own. Nothing connected the crashes with what the prompts had in common, at one instance or over all of them, so each new request and each retry was sent.

Change: instances collect which parts were in prompts whose connection broke before the answer began, and which ones were answered, exchange both in heartbeats, and refuse requests with the part that explains the crashes, after three of them. Retries stop one crash earlier. Requests that wait are refused as well; the refusal is 503 and true, 502 after an attempt.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `choose` picks an endpoint by the estimates of `endpoint` and `prefix`, among
 //!   those that `long_work` allows for the request;
 //! - `limit`, `breaker` and `budget` protect endpoints that are overloaded or failing;
+//! - `quarantine` finds prompts that crash endpoints;
 //! - `learn` holds the moving averages behind the estimates.
 //!
 //! See [decisions](../../../docs/decisions.md) for the design alternatives.
@@ -32,6 +33,7 @@
 mod long_work;
 mod policy;
 mod prefix;
+mod quarantine;
 mod queue;
 mod ready;
 mod shed;
@@ -44,4 +46,5 @@
         Refusal, Speed, Ticket, WaitingCounts, Why,
     },
     policy::{Placement, Policy, TierPolicy},
+    quarantine::{Block, Evidence, ProcessId, Quarantine},
 };
--- /dev/null
+++ b/crates/decide/tests/quarantine.rs
@@ -0,0 +1,285 @@
+//! Plays a fleet whose callers send prompts with a part that crashes endpoints, and checks how many
+//! of them still reach endpoints and that sound requests are served meanwhile.
+
+use baobabvane_decide::{Millis, ProcessId, PromptPart, Quarantine};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+const SEEDS: u64 = 24;
+const STEP_MS: Millis = 10.0;
+const DAY_MS: Millis = 40_000.0;
+const HEARTBEAT_MS: Millis = 100.0;
+/// How long an endpoint is down after a crash.
+const RESTART_MS: Millis = 3_000.0;
+/// When the first prompt with the deadly part comes.
+const POISON_FROM_MS: Millis = 4_000.0;
+/// The rule's bounds: crashes, the time from the last of them, and requests after that.
+const CRASHES_KNOWN: usize = 5;
+const KNOWN_AFTER_MS: Millis = 3_000.0;
+const MAX_SENT_AFTERWARDS: usize = 3;
+
+const DEADLY: PromptPart = PromptPart(1);
+/// The sound part that all prompts with the deadly part contain.
+const COMPANION: PromptPart = PromptPart(2);
+
+#[derive(Clone, Copy)]
+struct Scenario {
+    seed: u64,
+    instances: usize,
+    /// The number of other instances that get each heartbeat.
+    fan_out: usize,
+    deadly_per_s: f64,
+    companion_per_s: f64,
+    is_deadly_first: bool,
+    max_attempts: u32,
+    /// Whether connections are reset and endpoints lose power, besides.
+    has_other_faults: bool,
+}
+
+struct Request {
+    parts: Vec<PromptPart>,
+    instance: usize,
+    attempts: u32,
+    sent_at: Millis,
+    begins_at: Millis,
+}
+
+struct Endpoint {
+    process: ProcessId,
+    down_until: Millis,
+    waiting: Vec<Request>,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    crashed_at: Vec<Millis>,
+    deadly_sent_at: Vec<Millis>,
+    companions: usize,
+    blocked_companions: usize,
+    others: usize,
+    blocked_others: usize,
+}
+
+struct Play {
+    scenario: Scenario,
+    rng: SmallRng,
+    fleet: Vec<Quarantine>,
+    endpoints: Vec<Endpoint>,
+    next_process: u32,
+    /// Heartbeats under way: arrival, receiver, contents.
+    heartbeats: Vec<(Millis, usize, Vec<baobabvane_decide::Evidence>)>,
+    round: usize,
+    outcome: Outcome,
+}
+
+impl Play {
+    fn new(scenario: Scenario) -> Self {
+        let endpoints = (0..12)
+            .map(|i| Endpoint { process: ProcessId(i), down_until: 0.0, waiting: Vec::new() })
+            .collect();
+        Self {
+            scenario,
+            rng: SmallRng::seed_from_u64(scenario.seed),
+            fleet: (0..scenario.instances).map(|_| Quarantine::default()).collect(),
+            endpoints,
+            next_process: 100,
+            heartbeats: Vec::new(),
+            round: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let mut now = 0.0;
+        while now < DAY_MS {
+            self.arrive(now);
+            self.begin_answers(now);
+            if self.scenario.has_other_faults {
+                self.break_connections(now);
+            }
+            if now % HEARTBEAT_MS < STEP_MS {
+                self.send_heartbeats(now);
+            }
+            self.deliver_heartbeats(now);
+            now += STEP_MS;
+        }
+        self.outcome
+    }
+
+    fn arrives(&mut self, per_s: f64) -> bool {
+        self.rng.random::<f64>() < per_s * STEP_MS / 1_000.0
+    }
+
+    fn arrive(&mut self, now: Millis) {
+        let unique = PromptPart(self.rng.random_range(1_000_000..u32::MAX));
+        if now >= POISON_FROM_MS && self.arrives(self.scenario.deadly_per_s) {
+            let mut parts = vec![COMPANION, DEADLY];
+            if self.scenario.is_deadly_first {
+                parts.reverse();
+            }
+            self.offer(parts, now);
+        }
+        if self.arrives(self.scenario.companion_per_s) {
+            let is_blocked = !self.offer(vec![COMPANION], now);
+            self.outcome.companions += 1;
+            self.outcome.blocked_companions += usize::from(is_blocked);
+        }
+        if self.arrives(60.0) {
+            // Some parts are in many prompts, some in few.
+            let common = PromptPart(10 + (self.rng.random::<f64>().powi(3) * 100.0) as u32);
+            let is_blocked = !self.offer(vec![common, unique], now);
+            self.outcome.others += 1;
+            self.outcome.blocked_others += usize::from(is_blocked);
+        }
+    }
+
+    /// Sends a new request unless it is blocked; returns whether it was sent.
+    fn offer(&mut self, parts: Vec<PromptPart>, now: Millis) -> bool {
+        let instance = self.rng.random_range(0..self.fleet.len());
+        self.send(Request { parts, instance, attempts: 0, sent_at: now, begins_at: now }, now)
+    }
+
+    fn send(&mut self, mut req: Request, now: Millis) -> bool {
+        if self.fleet[req.instance].blocked(&req.parts, req.attempts > 0, now).is_some() {
+            return false;
+        }
+        let up: Vec<usize> =
+            (0..self.endpoints.len()).filter(|i| self.endpoints[*i].down_until <= now).collect();
+        if up.is_empty() {
+            return true;
+        }
+        if req.parts.contains(&DEADLY) {
+            self.outcome.deadly_sent_at.push(now);
+        }
+        req.attempts += 1;
+        req.sent_at = now;
+        req.begins_at = now + self.rng.random_range(50.0..400.0);
+        let endpoint = up[self.rng.random_range(0..up.len())];
+        self.endpoints[endpoint].waiting.push(req);
+        true
+    }
+
+    fn begin_answers(&mut self, now: Millis) {
+        for i in 0..self.endpoints.len() {
+            let process = self.endpoints[i].process;
+            let waiting = std::mem::take(&mut self.endpoints[i].waiting);
+            let (due, waiting): (Vec<_>, Vec<_>) =
+                waiting.into_iter().partition(|r| r.begins_at <= now);
+            self.endpoints[i].waiting = waiting;
+            let has_deadly = due.iter().any(|r| r.parts.contains(&DEADLY));
+            let (deadly, sound): (Vec<_>, Vec<_>) =
+                due.into_iter().partition(|r| r.parts.contains(&DEADLY));
+            for req in &sound {
+                self.fleet[req.instance].record_answer(process, req.sent_at, &req.parts, now);
+            }
+            if has_deadly {
+                self.endpoints[i].waiting.extend(deadly);
+                self.outcome.crashed_at.push(now);
+                self.crash(i, now);
+            }
+        }
+    }
+
+    fn crash(&mut self, endpoint: usize, now: Millis) {
+        self.break_off(endpoint, now);
+        self.endpoints[endpoint].down_until = now + RESTART_MS;
+        self.endpoints[endpoint].process = ProcessId(self.next_process);
+        self.next_process += 1;
+    }
+
+    /// Breaks the connections of the requests that wait at an endpoint; these are retried.
+    fn break_off(&mut self, endpoint: usize, now: Millis) {
+        let process = self.endpoints[endpoint].process;
+        for req in std::mem::take(&mut self.endpoints[endpoint].waiting) {
+            self.fleet[req.instance].record_crash(process, &req.parts, now);
+            if req.attempts < self.scenario.max_attempts {
+                self.send(req, now);
+            }
+        }
+    }
+
+    /// Resets the connections of an endpoint now and then, and ends a third of the endpoints twice.
+    fn break_connections(&mut self, now: Millis) {
+        if self.arrives(2.0) {
+            let endpoint = self.rng.random_range(0..self.endpoints.len());
+            self.break_off(endpoint, now);
+        }
+        if now == 10_000.0 || now == 20_000.0 {
+            (0..4).for_each(|endpoint| self.crash(endpoint, now));
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: Millis) {
+        self.round += 1;
+        let count = self.fleet.len();
+        for from in 0..count {
+            let evidence = self.fleet[from].evidence_to_report(now);
+            if evidence.is_empty() {
+                continue;
+            }
+            for i in 0..self.scenario.fan_out.min(count - 1) {
+                let to =
+                    (from + 1 + (self.round * self.scenario.fan_out + i) % (count - 1)) % count;
+                let arrives_at = now + self.rng.random_range(1.0..50.0);
+                // One datagram in a hundred is lost.
+                if self.rng.random::<f64>() < 0.99 {
+                    self.heartbeats.push((arrives_at, to, evidence.clone()));
+                }
+            }
+        }
+    }
+
+    fn deliver_heartbeats(&mut self, now: Millis) {
+        let (due, under_way): (Vec<_>, Vec<_>) = std::mem::take(&mut self.heartbeats)
+            .into_iter()
+            .partition(|(arrives_at, ..)| *arrives_at <= now);
+        self.heartbeats = under_way;
+        for (_, to, evidence) in due {
+            self.fleet[to].merge(&evidence, now);
+        }
+    }
+}
+
+fn scenario(seed: u64) -> Scenario {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    Scenario {
+        seed,
+        instances: [1, 6, 9, 24][seed as usize % 4],
+        fan_out: 8,
+        deadly_per_s: rng.random_range(0.3..6.0),
+        companion_per_s: rng.random_range(0.2..5.0),
+        is_deadly_first: rng.random::<f64>() < 0.3,
+        max_attempts: rng.random_range(1..4),
+        has_other_faults: rng.random::<f64>() < 0.5,
+    }
+}
+
+#[test]
+fn few_requests_with_a_part_that_crashes_endpoints_are_sent_once_it_is_known() {
+    for seed in 0..SEEDS {
+        let outcome = Play::new(scenario(seed)).run();
+        let Some(known_at) = outcome.crashed_at.get(CRASHES_KNOWN - 1) else { continue };
+        let late = outcome.deadly_sent_at.iter().filter(|at| **at > known_at + KNOWN_AFTER_MS);
+        let late = late.count();
+        assert!(late <= MAX_SENT_AFTERWARDS, "seed {seed}: {late} sent: {outcome:?}");
+    }
+}
+
+#[test]
+fn sound_requests_that_share_a_part_with_those_that_crash_endpoints_are_served() {
+    for seed in 0..SEEDS {
+        let outcome = Play::new(scenario(seed)).run();
+        let blocked = outcome.blocked_companions;
+        assert!(2 * blocked <= outcome.companions, "seed {seed}: {outcome:?}");
+        assert!(2 * outcome.blocked_others <= outcome.others, "seed {seed}: {outcome:?}");
+    }
+}
+
+#[test]
+fn nothing_is_blocked_when_endpoints_end_for_other_reasons() {
+    for seed in 0..SEEDS {
+        let quiet = Scenario { deadly_per_s: 0.0, has_other_faults: true, ..scenario(seed) };
+        let outcome = Play::new(quiet).run();
+        let blocked = outcome.blocked_companions + outcome.blocked_others;
+        assert_eq!(blocked, 0, "seed {seed}: {outcome:?}");
+    }
+}
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -273,6 +273,7 @@
             ticket: self.cx.next_ticket(),
             pool: Rc::clone(&self.request.pool),
             descriptor,
+            shared_parts: prompt.shared_parts.clone(),
             quota_charge: if is_quota_charged || is_retry { None } else { self.quota_charge() },
             is_retry,
         }
@@ -335,12 +336,11 @@
         let previous_verdict = self.verdict.replace(Verdict::MayHaveRun);
         let AdmittedRequest { method, uri, body, .. } = &self.request;
         if let Err(e) = upstream.send(method, uri, &headers, body.clone()).await {
-            return Err(self.connection_failed(
-                grant,
-                in_flight,
-                "the request could not be sent",
-                &e,
-            ));
+            const CAUSE: &str = "the request could not be sent";
+            self.log_endpoint_failed(&grant.id, false, CAUSE, &e);
+            // The endpoint had closed the connection before it could begin to answer.
+            in_flight.end(Ending::Failed);
+            return Err(AttemptFailure::MayHaveRun(CAUSE));
         }
         let read_head = self.read_head(&mut upstream);
         let head = match self.silence_timeout() {
@@ -406,7 +406,7 @@
         error: &WireError,
     ) -> AttemptFailure {
         self.log_endpoint_failed(&grant.id, in_flight.has_response_started(), cause, error);
-        in_flight.end(Ending::Failed);
+        in_flight.break_off(error);
         AttemptFailure::MayHaveRun(cause)
     }
 
--- a/crates/gateway/src/caller/failure.rs
+++ b/crates/gateway/src/caller/failure.rs
@@ -55,6 +55,14 @@
                 LocalReply::new(StatusCode::TOO_MANY_REQUESTS, "over the quota")
                     .retry_after(Some(after))
             }
+            Self::Refused(Refused::Quarantined(block)) => {
+                let after = Duration::from_secs_f64(block.remaining_ms / 1_000.0);
+                LocalReply::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "prompts with a part of this one have crashed endpoints",
+                )
+                .retry_after(Some(after))
+            }
             Self::Refused(refused) => {
                 LocalReply::new(StatusCode::SERVICE_UNAVAILABLE, refused.as_str())
                     .retry_after(Some(refused.retry_after()))
--- a/crates/gateway/src/caller/flight.rs
+++ b/crates/gateway/src/caller/flight.rs
@@ -4,8 +4,11 @@
 //! A [`QueuedRequest`] becomes an [`InFlightRequest`] when the scheduler grants an endpoint.
 //! Dropping either early, for example when the caller disconnects, notifies the scheduler.
 
+use std::io;
+
 use baobabvane_decide::{Ending, Ticket};
 use baobabvane_tasks::Mailbox;
+use baobabvane_wire::WireError;
 
 use crate::scheduler::{Grant, PlacementRequest, Refused, SchedulerMessage};
 
@@ -44,6 +47,22 @@
         self.has_response_started
     }
 
+    /// Notifies the scheduler that the response could not be read to its end.
+    ///
+    /// If the connection was closed before any data of the response arrived, the request may have
+    /// crashed the endpoint.
+    pub(super) fn break_off(self, error: &WireError) {
+        let is_closed = match error {
+            WireError::Io(e) => e.kind() != io::ErrorKind::TimedOut,
+            WireError::UnexpectedEof => true,
+            _ => false,
+        };
+        if is_closed && !self.has_response_started {
+            self.scheduler.send(SchedulerMessage::ConnectionBroke(self.ticket));
+        }
+        self.end(Ending::Failed);
+    }
+
     /// Notifies the scheduler how the request ended at the endpoint.
     pub(super) fn end(mut self, ending: Ending) {
         self.has_ended = true;
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -147,7 +147,7 @@
                 const CAUSE: &str = "the stream broke off";
                 let has_begun = in_flight.has_response_started();
                 exchange.log_endpoint_failed(&endpoint_id, has_begun, CAUSE, &e);
-                in_flight.end(Ending::Failed);
+                in_flight.break_off(&e);
                 return RelayEnd::Broken(CAUSE);
             }
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,7 +12,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use baobabvane_decide::{EndpointLoad, Rank};
+use baobabvane_decide::{EndpointLoad, Evidence, Rank};
 use baobabvane_members::SharedKey;
 use baobabvane_tasks::Mailbox;
 use local_sync::mpsc::unbounded;
@@ -81,6 +81,8 @@
     /// The quota units that the sender's zone used in the last window, by the hash of the
     /// organisation's name. Only organisations that use much of their quota are included.
     pub zone_use: Vec<(u32, f64)>,
+    /// What is known of prompt parts that may crash endpoints, also from other instances.
+    pub crash_evidence: Vec<Evidence>,
 }
 
 /// The state that another instance reported.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -10,20 +10,24 @@
 use std::{rc::Rc, time::Duration};
 
 use baobabvane_decide::{
-    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, Policy, Rank,
-    Ticket, Why,
+    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, Policy,
+    ProcessId, PromptPart, Quarantine, Rank, Ticket, Why,
 };
 use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::time::Instant;
 use rustc_hash::FxHashMap;
 
-use self::fleet::{FleetState, Standing};
 pub(crate) use self::placement::{Grant, PlacementRequest, QuotaCharge, Refused, id_hash};
+use self::{
+    fleet::{FleetState, Standing},
+    placement::process_id,
+};
 use crate::{
     configuration::{Configuration, DiscoveredEndpoint, Engine},
     directory::{Directory, EndpointChange, EndpointList},
     peer::{LocalState, PeerState, WaitingRequests},
+    prompt::SharedParts,
     quota::QuotaTolerance,
     retry::{RetryBudget, RetryWindow},
 };
@@ -66,6 +70,8 @@
     AnswerStarted(Ticket),
     /// Reports the number of requests that an endpoint states it is processing.
     LoadReported(EndpointKey, u32),
+    /// Reports that the connection of a request broke before its answer began; it ends, too.
+    ConnectionBroke(Ticket),
     /// Reports the outcome of a dispatched request.
     RequestEnded(Ticket, Ending),
     /// Reports that a request to this endpoint reached another one, which now uses its address.
@@ -96,6 +102,10 @@
     pool: Rc<str>,
     quota_charge: Option<QuotaCharge>,
     standing: Standing,
+    shared_parts: SharedParts,
+    is_retry: bool,
+    /// The process to which the request was sent, and when.
+    sent: Option<(ProcessId, f64)>,
     reply: Option<oneshot::Sender<Result<Grant, Refused>>>,
 }
 
@@ -108,6 +118,9 @@
     pools: FxHashMap<Rc<str>, PoolState>,
     requests: FxHashMap<Ticket, TrackedRequest>,
     fleet: FleetState,
+    quarantine: Quarantine,
+    /// The blocked parts that have been logged.
+    logged_blocked_parts: Vec<PromptPart>,
     /// The availability zone of this instance.
     zone: String,
 }
@@ -125,6 +138,8 @@
         pools: FxHashMap::default(),
         requests: FxHashMap::default(),
         fleet: FleetState::new(id_hash(zone)),
+        quarantine: Quarantine::default(),
+        logged_blocked_parts: Vec::new(),
         zone: zone.to_owned(),
     };
     monoio::spawn(scheduler.run(rx));
@@ -180,8 +195,21 @@
             SchedulerMessage::Place(request, reply) => self.place(*request, reply),
             SchedulerMessage::CancelPlacement(ticket) => self.cancel_placement(ticket),
             SchedulerMessage::AnswerStarted(ticket) => {
+                if let Some(request) = self.requests.get(&ticket)
+                    && let Some((process, sent_at)) = request.sent
+                {
+                    let parts = &request.shared_parts.0;
+                    self.quarantine.record_answer(process, sent_at, parts, now);
+                }
                 self.notify_request_pool(ticket, Event::FirstToken(ticket))
             }
+            SchedulerMessage::ConnectionBroke(ticket) => {
+                if let Some(request) = self.requests.get(&ticket)
+                    && let Some((process, _)) = request.sent
+                {
+                    self.quarantine.record_crash(process, &request.shared_parts.0, now);
+                }
+            }
             SchedulerMessage::LoadReported(key, requests) => {
                 let report = LoadReport { requests, age_ms: 0.0 };
                 self.notify_endpoint_pool(key, Event::LoadReported(key, report));
@@ -198,6 +226,7 @@
                 if let Some(age_ms) = state.store_read_age_ms {
                     self.directory.record_discovery_answer(now - age_ms as f64);
                 }
+                self.quarantine.merge(&state.local.crash_evidence, now);
                 self.fleet.record_heartbeat(state, now);
             }
             SchedulerMessage::InstanceCounts { live, known } => {
@@ -221,10 +250,20 @@
                 return;
             }
         };
-        let PlacementRequest { ticket, pool, descriptor, quota_charge, .. } = request;
+        let PlacementRequest {
+            ticket, pool, descriptor, shared_parts, quota_charge, is_retry, ..
+        } = request;
         self.requests.insert(
             ticket,
-            TrackedRequest { pool: Rc::clone(&pool), quota_charge, standing, reply: Some(reply) },
+            TrackedRequest {
+                pool: Rc::clone(&pool),
+                quota_charge,
+                standing,
+                shared_parts,
+                is_retry,
+                sent: None,
+                reply: Some(reply),
+            },
         );
         let mut descriptor = descriptor;
         if standing == Standing::UsesTolerance {
@@ -240,8 +279,13 @@
         self.notify_pool(&pool, Event::Offer(ticket, descriptor));
     }
 
-    /// Charges a first attempt to the quota and a retry to the retry budget.
+    /// Refuses a request that would crash endpoints; charges a first attempt to the quota and a
+    /// retry to the retry budget.
     fn admit(&mut self, request: &PlacementRequest, now: f64) -> Result<Standing, Refused> {
+        let parts = &request.shared_parts.0;
+        if let Some(block) = self.quarantine.blocked(parts, request.is_retry, now) {
+            return Err(Refused::Quarantined(block));
+        }
         let instances = self.fleet.known_instances();
         let budget = self.budget;
         let pool = self.pool(&request.pool);
@@ -330,7 +374,20 @@
     }
 
     fn grant(&mut self, ticket: Ticket, grant: Option<Grant>, pool: &Rc<str>) {
-        let reply = self.requests.get_mut(&ticket).and_then(|r| r.reply.take());
+        let now = self.now();
+        if let Some(request) = self.requests.get(&ticket)
+            && let Some(block) =
+                self.quarantine.blocked(&request.shared_parts.0, request.is_retry, now)
+        {
+            self.refuse(ticket, Refused::Quarantined(block));
+            self.notify_pool(pool, Event::End(ticket, Ending::Cancelled));
+            return;
+        }
+        let process = grant.as_ref().and_then(|g| self.directory.get(g.endpoint)).map(process_id);
+        let reply = self.requests.get_mut(&ticket).and_then(|r| {
+            r.sent = process.map(|process| (process, now));
+            r.reply.take()
+        });
         let is_delivered = match (reply, grant) {
             (Some(reply), Some(grant)) => reply.send(Ok(grant)).is_ok(),
             _ => false,
@@ -399,6 +456,7 @@
         let now = self.now();
         let changes = self.directory.apply_due_removals(now);
         self.apply_endpoint_changes(changes);
+        self.log_blocked_parts();
         self.update_peer_loads(now);
         let pools: Vec<Rc<str>> = self.pools.keys().cloned().collect();
         for pool in pools {
@@ -408,6 +466,22 @@
         }
     }
 
+    fn log_blocked_parts(&mut self) {
+        let mut blocked: Vec<PromptPart> = self.quarantine.blocked_parts().collect();
+        blocked.sort_unstable();
+        if blocked == self.logged_blocked_parts {
+            return;
+        }
+        for part in blocked.iter().filter(|part| !self.logged_blocked_parts.contains(part)) {
+            metrics::counter!("baobabvane_gateway_prompt_parts_blocked_total").increment(1);
+            log::warn!("event=prompt_part_blocked part={:08x}", part.0);
+        }
+        for part in self.logged_blocked_parts.iter().filter(|part| !blocked.contains(part)) {
+            log::info!("event=prompt_part_released part={:08x}", part.0);
+        }
+        self.logged_blocked_parts = blocked;
+    }
+
     /// Updates the cores' record of the load that other instances put on each endpoint.
     fn update_peer_loads(&mut self, now: f64) {
         let Some(loads) = self.fleet.take_changed_loads(now) else { return };
@@ -440,6 +514,7 @@
             waiting: waiting.collect(),
             quota_totals: self.fleet.quota_totals(now),
             zone_use,
+            crash_evidence: self.quarantine.evidence_to_report(now),
         }
     }
 }
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -523,6 +523,7 @@
                 waiting: vec![],
                 quota_totals: self.instances[from].quota_totals(now),
                 zone_use: self.instances[from].zone_use(now),
+                crash_evidence: vec![],
             };
             for receiver in to {
                 let state = PeerState {
--- a/crates/gateway/src/scheduler/placement.rs
+++ b/crates/gateway/src/scheduler/placement.rs
@@ -7,10 +7,13 @@
     rc::Rc,
 };
 
-use baobabvane_decide::{Descriptor, EndpointKey, Refusal, Ticket, Why};
+use baobabvane_decide::{Block, Descriptor, EndpointKey, ProcessId, Refusal, Ticket, Why};
 use rustc_hash::FxHasher;
 
-use crate::configuration::Organisation;
+use crate::{
+    configuration::{DiscoveredEndpoint, Organisation},
+    prompt::SharedParts,
+};
 
 /// A request for an endpoint on behalf of a caller.
 #[derive(Debug)]
@@ -22,6 +25,8 @@
     /// The input of the core's decision; its deadline and goal are in milliseconds after the
     /// scheduler receives this request.
     pub(crate) descriptor: Descriptor,
+    /// The parts of the prompt that other requests may have too.
+    pub(crate) shared_parts: SharedParts,
     /// The quota units to charge; `None` if nothing is charged.
     pub(crate) quota_charge: Option<QuotaCharge>,
     /// Whether the request was already sent to an endpoint.
@@ -80,6 +85,8 @@
     Quota(QuotaRefusal),
     /// This instance's share of the retry budget is used up.
     RetryBudget,
+    /// Prompts with a part of this one have crashed endpoints.
+    Quarantined(Block),
     /// The decision core refused the request; `why` states the inputs of its decision.
     Core { refusal: Refusal, why: Why },
 }
@@ -90,6 +97,7 @@
         match self {
             Self::Quota(_) => "quota",
             Self::RetryBudget => "retry_budget",
+            Self::Quarantined(_) => "quarantined",
             Self::Core { refusal, .. } => match refusal {
                 Refusal::Load => "load",
                 Refusal::Late => "late",
@@ -103,8 +111,17 @@
 /// Returns a 32-bit hash of an endpoint id, organisation, route or zone; all instances
 /// compute the same value.
 pub(crate) fn id_hash(id: &str) -> u32 {
+    short_hash(id)
+}
+
+/// Returns the id of the endpoint's process; all instances compute the same one.
+pub(crate) fn process_id(endpoint: &DiscoveredEndpoint) -> ProcessId {
+    ProcessId(short_hash((endpoint.id.as_str(), endpoint.started_ms)))
+}
+
+fn short_hash(value: impl Hash) -> u32 {
     let mut hasher = FxHasher::default();
-    id.hash(&mut hasher);
+    value.hash(&mut hasher);
     let hash = hasher.finish();
     (hash ^ (hash >> 32)) as u32
 }
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -6,7 +6,7 @@
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 /// How an endpoint handles a request.
@@ -28,6 +28,9 @@
     Events(u64),
     /// Sends the events up to this number and a part of another one, then closes the connection.
     BrokenEvents(u64),
+    /// Sends three events, unless the prompt has the part with this id: then the head, and the
+    /// connection closes before the first event, and the endpoint accepts no more connections.
+    CrashOnPart(&'static str),
     /// Sends the events up to this number, then keeps the connection open without sending more.
     StalledEvents(u64),
     /// Sends the events up to this number, then a byte now and then that completes no event.
@@ -76,10 +79,15 @@
     received: Rc<RefCell<Vec<ReceivedRequest>>>,
     cancelled: Rc<RefCell<u32>>,
     bytes_written: Rc<RefCell<usize>>,
+    has_crashed: Rc<RefCell<bool>>,
 }
 
 /// The pause between two bytes of an endpoint that drips.
 const DRIP_INTERVAL: Duration = Duration::from_millis(20);
+/// How often an endpoint looks whether it has crashed.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// The time until an endpoint crashes on a part of a prompt.
+const PREFILL_TIME: Duration = Duration::from_millis(60);
 /// The text that an endpoint repeats when its answer has no end.
 const FLOOD: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
 
@@ -94,6 +102,7 @@
             received: Rc::default(),
             cancelled: Rc::default(),
             bytes_written: Rc::default(),
+            has_crashed: Rc::default(),
         };
         monoio::spawn(endpoint.clone().accept(listener));
         endpoint
@@ -116,8 +125,12 @@
     }
 
     async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
-            monoio::spawn(self.clone().serve(stream));
+        while !*self.has_crashed.borrow() {
+            match timeout(CRASH_CHECK_INTERVAL, listener.accept()).await {
+                Ok(Ok((stream, _))) => drop(monoio::spawn(self.clone().serve(stream))),
+                Ok(Err(_)) => return,
+                Err(_) => {}
+            }
         }
     }
 
@@ -170,6 +183,16 @@
                 write(stream, format!("{events}9\r\nid: 99\nda\r\n")).await;
                 false
             }
+            Script::CrashOnPart(part) => {
+                let parts = request.header("baobabvane-prompt-parts").unwrap_or("");
+                if parts.contains(&format!("{part}:")) {
+                    sleep(PREFILL_TIME).await;
+                    write(stream, event_stream(&id, 0, 0)).await;
+                    *self.has_crashed.borrow_mut() = true;
+                    return false;
+                }
+                write(stream, format!("{}0\r\n\r\n", event_stream(&id, 0, 3))).await
+            }
             Script::StalledEvents(last) => {
                 write(stream, event_stream(&id, last_event_id(request), last)).await;
                 self.until_cancelled(stream).await
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod discovery;
+mod quarantine;
 mod retries;
 mod stopping;
 mod streams;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -0,0 +1,81 @@
+//! Tests of prompts that crash the endpoints that begin to answer them.
+
+use http::{Method, StatusCode};
+
+use crate::{
+    endpoint::{Endpoint, Script},
+    fixture::{Answer, GatewayFixture, block_on, events},
+};
+
+/// The users' bound: crashes until the part is known, and the requests that may follow them.
+const MAX_SENT: usize = 5 + 3;
+/// Far more than the bound, even if each were sent only once.
+const REQUESTS: usize = 20;
+
+fn spawn_endpoints() -> Vec<Endpoint> {
+    let spawn = |i| Endpoint::spawn(&format!("e{i}"), "desk", &[Script::CrashOnPart("dead")]);
+    (0..12).map(spawn).collect()
+}
+
+/// Sends a prompt that begins with the part `common`; returns `None` if its answer broke off.
+async fn ask(gateway: &GatewayFixture, number: usize, is_deadly: bool) -> Option<Answer> {
+    let deadly = if is_deadly { "dead:100," } else { "" };
+    let parts = format!("common:60,{deadly}own{number}:500");
+    let headers =
+        [("baobabvane-prompt-parts", parts.as_str()), ("baobabvane-token-usage", "660,50")];
+    let mut caller = gateway.connect_caller().await;
+    caller.request(Method::POST, "/answers/", &headers).await.ok()
+}
+
+fn count_deadly(endpoints: &[Endpoint]) -> usize {
+    let received = endpoints.iter().flat_map(Endpoint::received_requests);
+    let parts = received.filter_map(|r| Some(r.header("baobabvane-prompt-parts")?.to_owned()));
+    parts.filter(|parts| parts.contains("dead:")).count()
+}
+
+#[test]
+fn prompts_with_a_part_that_crashes_endpoints_stop_being_sent() {
+    block_on(async {
+        let endpoints = spawn_endpoints();
+        let gateway = GatewayFixture::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        let mut last = None;
+        for number in 0..REQUESTS {
+            last = ask(&gateway, number, true).await;
+        }
+        let sent = count_deadly(&endpoints);
+        assert!(sent <= MAX_SENT, "{sent} requests of {REQUESTS} were sent");
+        let refused = last.expect("an answer");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.headers.contains_key("retry-after"));
+
+        let sound = ask(&gateway, REQUESTS, false).await.expect("an answer");
+        assert_eq!((sound.status.as_u16(), sound.body), (200, events(1, 3)));
+    });
+}
+
+#[test]
+fn instances_share_what_they_know_of_prompts_that_crash_endpoints() {
+    block_on(async {
+        let endpoints = spawn_endpoints();
+        let listed: Vec<&Endpoint> = endpoints.iter().collect();
+        let first = GatewayFixture::start(&listed).await;
+        let second = GatewayFixture::start(&listed).await;
+        first.feed.set_fleet_secret("secret");
+        second.feed.set_fleet_secret("secret");
+        second.feed.add_seed_peers(vec![first.peer_address]);
+        let mut refused = 0;
+        for number in 0..REQUESTS {
+            let gateway = if number % 2 == 0 { &first } else { &second };
+            let status = ask(gateway, number, true).await.map(|answer| answer.status);
+            refused += usize::from(status == Some(StatusCode::SERVICE_UNAVAILABLE));
+            // Longer than the interval of heartbeats.
+            monoio::time::sleep(std::time::Duration::from_millis(150)).await;
+        }
+        let sent = count_deadly(&endpoints);
+        assert!(sent <= MAX_SENT, "{sent} requests of {REQUESTS} were sent");
+        assert!(refused > REQUESTS / 2, "{refused} of {REQUESTS} were refused");
+        for gateway in [&first, &second] {
+            assert_eq!(ask(gateway, REQUESTS, false).await.expect("an answer").status, 200);
+        }
+    });
+}
