decide: instances share which endpoints work after their connections broke

In a large fleet an instance rarely sends to a given endpoint, so that it did not learn that an endpoint whose connections were reset still works: a sound part that was in three such breaks, and had no answer in between, stayed blocked until its next answer.

Change: reports name the processes in their evidence that began to answer a request sent later.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -39,10 +39,24 @@
 /// process takes longer to start again under its id.
 const SAME_CRASH_MS: Millis = 1_000.0;
 
+/// How exact the times in reports are: each instance that passes one on adds the time that its
+/// heartbeat took.
+const REPORT_TOLERANCE_MS: Millis = 250.0;
+
 /// Identifies one process of an endpoint; a restart has another id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ProcessId(pub u32);
 
+/// What instances tell each other of crashes, with ages in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Evidence on suspect parts.
+    pub evidence: Vec<Evidence>,
+    /// Processes in that evidence that have not crashed after all: they began to answer a request
+    /// that was sent to them this long ago.
+    pub working: SmallVec<[(ProcessId, u32); 4]>,
+}
+
 /// What an instance knows of a suspect part, with ages in milliseconds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -150,7 +164,7 @@
         parts: &[PromptPart],
         now: Millis,
     ) {
-        let mut has_changed = self.add_proof_of_work(endpoint, sent_at);
+        let mut has_changed = self.add_proof_of_work(endpoint, sent_at, now);
         for part in parts {
             has_changed |= self.add_answer(*part, now, now);
         }
@@ -173,15 +187,24 @@
     }
 
     /// Adds the evidence of another instance.
-    pub fn merge(&mut self, evidence: &[Evidence], now: Millis) {
+    pub fn merge(&mut self, report: &CrashReport, now: Millis) {
         let mut has_changed = false;
-        for e in evidence {
+        for e in &report.evidence {
             for (process, age_ms) in &e.crashes {
                 let at = now - Millis::from(*age_ms);
                 has_changed |= self.add_crash(e.part, *process, at, now);
             }
             if let Some(age_ms) = e.answered_age_ms {
-                has_changed |= self.add_answer(e.part, now - Millis::from(age_ms), now);
+                let at = now - Millis::from(age_ms);
+                if is_later(at, self.answered_at.get(&e.part)) {
+                    has_changed |= self.add_answer(e.part, at, now);
+                }
+            }
+        }
+        for (process, age_ms) in &report.working {
+            let sent_at = now - Millis::from(*age_ms);
+            if is_later(sent_at, self.working_at.get(process)) {
+                has_changed |= self.add_proof_of_work(*process, sent_at, now);
             }
         }
         if has_changed {
@@ -209,9 +232,9 @@
     }
 
     /// Returns evidence for the other instances: what changed lately and, in rotation, the rest.
-    pub fn evidence_to_report(&mut self, now: Millis) -> Vec<Evidence> {
+    pub fn report(&mut self, now: Millis) -> CrashReport {
         if self.suspects.is_empty() {
-            return Vec::new();
+            return CrashReport::default();
         }
         self.forget_expired(now);
         let mut order: Vec<PromptPart> = self.suspects.keys().copied().collect();
@@ -231,17 +254,24 @@
             reported.push(*next);
         }
         let age = |at: Millis| (now - at).max(0.0) as u32;
-        reported
-            .into_iter()
-            .map(|part| {
-                let suspect = &self.suspects[&part];
-                Evidence {
-                    part,
-                    answered_age_ms: self.answered_at.get(&part).map(|at| age(*at)),
-                    crashes: suspect.crashes.iter().map(|(p, at)| (*p, age(*at))).collect(),
+        let mut report = CrashReport::default();
+        for part in reported {
+            let suspect = &self.suspects[&part];
+            report.evidence.push(Evidence {
+                part,
+                answered_age_ms: self.answered_at.get(&part).map(|at| age(*at)),
+                crashes: suspect.crashes.iter().map(|(p, at)| (*p, age(*at))).collect(),
+            });
+            for (process, at) in &suspect.crashes {
+                let working_at =
+                    self.working_at.get(process).filter(|sent_at| is_later(**sent_at, Some(at)));
+                let is_new = report.working.iter().all(|(reported, _)| reported != process);
+                if let Some(sent_at) = working_at.filter(|_| is_new) {
+                    report.working.push((*process, age(*sent_at)));
                 }
-            })
-            .collect()
+            }
+        }
+        report
     }
 
     /// Records an answer and returns whether it may change a verdict.
@@ -260,13 +290,20 @@
 
     /// Records that the endpoint has begun to answer a request that was sent at `sent_at`, and
     /// returns whether this refutes a crash.
-    fn add_proof_of_work(&mut self, endpoint: ProcessId, sent_at: Millis) -> bool {
+    fn add_proof_of_work(&mut self, endpoint: ProcessId, sent_at: Millis, now: Millis) -> bool {
         let working_at = self.working_at.entry(endpoint).or_insert(Millis::NEG_INFINITY);
         let before = *working_at;
         *working_at = before.max(sent_at);
         forget_oldest(&mut self.working_at, MAX_REMEMBERED_ENDPOINTS);
-        let mut crashes = self.suspects.values().flat_map(|s| &s.crashes);
-        crashes.any(|(process, at)| *process == endpoint && before <= *at && sent_at > *at)
+        let is_refuted = |(process, at): &(ProcessId, Millis)| {
+            *process == endpoint && !is_later(before, Some(at)) && is_later(sent_at, Some(at))
+        };
+        let mut has_changed = false;
+        for suspect in self.suspects.values_mut().filter(|s| s.crashes.iter().any(is_refuted)) {
+            suspect.changed_at = now;
+            has_changed = true;
+        }
+        has_changed
     }
 
     /// Records a crash and returns whether it was not known.
@@ -355,7 +392,8 @@
         let mut counted_at = Millis::NEG_INFINITY;
         let mut count = 0;
         for (process, at) in &self.suspects[&part].crashes {
-            let works = self.working_at.get(process).is_some_and(|sent_at| sent_at > at);
+            let sent_at = self.working_at.get(process);
+            let works = sent_at.is_some_and(|sent_at| is_later(*sent_at, Some(at)));
             if *at <= answered_at || works || explained.contains(process) {
                 continue;
             }
@@ -368,6 +406,13 @@
     }
 }
 
+/// Returns whether `at` is later than `known` even if both come from reports.
+///
+/// A time that is passed on grows a little with each heartbeat, so a small difference is no news.
+fn is_later(at: Millis, known: Option<&Millis>) -> bool {
+    known.is_none_or(|known| at > known + REPORT_TOLERANCE_MS)
+}
+
 /// Removes the oldest half of a map that has outgrown `max`.
 fn forget_oldest<K: Copy + Eq + std::hash::Hash>(times: &mut FxHashMap<K, Millis>, max: usize) {
     if times.len() <= max {
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Plays a fleet whose callers send prompts with a part that crashes endpoints, and checks how many
 //! of them still reach endpoints and that sound requests are served meanwhile.
 
-use baobabvane_decide::{Millis, ProcessId, PromptPart, Quarantine};
+use baobabvane_decide::{CrashReport, Millis, ProcessId, PromptPart, Quarantine};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 const SEEDS: u64 = 24;
@@ -66,7 +66,7 @@
     endpoints: Vec<Endpoint>,
     next_process: u32,
     /// Heartbeats under way: arrival, receiver, contents.
-    heartbeats: Vec<(Millis, usize, Vec<baobabvane_decide::Evidence>)>,
+    heartbeats: Vec<(Millis, usize, CrashReport)>,
     round: usize,
     outcome: Outcome,
 }
@@ -212,8 +212,8 @@
         self.round += 1;
         let count = self.fleet.len();
         for from in 0..count {
-            let evidence = self.fleet[from].evidence_to_report(now);
-            if evidence.is_empty() {
+            let report = self.fleet[from].report(now);
+            if report.evidence.is_empty() {
                 continue;
             }
             for i in 0..self.scenario.fan_out.min(count - 1) {
@@ -222,7 +222,7 @@
                 let arrives_at = now + self.rng.random_range(1.0..50.0);
                 // One datagram in a hundred is lost.
                 if self.rng.random::<f64>() < 0.99 {
-                    self.heartbeats.push((arrives_at, to, evidence.clone()));
+                    self.heartbeats.push((arrives_at, to, report.clone()));
                 }
             }
         }
@@ -233,8 +233,8 @@
             .into_iter()
             .partition(|(arrives_at, ..)| *arrives_at <= now);
         self.heartbeats = under_way;
-        for (_, to, evidence) in due {
-            self.fleet[to].merge(&evidence, now);
+        for (_, to, report) in due {
+            self.fleet[to].merge(&report, now);
         }
     }
 }
@@ -283,3 +283,11 @@
         assert_eq!(blocked, 0, "seed {seed}: {outcome:?}");
     }
 }
+
+#[test]
+fn endpoints_that_work_after_their_connections_broke_clear_a_part_in_a_large_fleet() {
+    let large =
+        Scenario { instances: 60, deadly_per_s: 0.0, has_other_faults: true, ..scenario(419) };
+    let outcome = Play::new(large).run();
+    assert_eq!(outcome.blocked_companions + outcome.blocked_others, 0, "{outcome:?}");
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,7 +12,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use baobabvane_decide::{EndpointLoad, Evidence, Rank};
+use baobabvane_decide::{CrashReport, EndpointLoad, Rank};
 use baobabvane_members::SharedKey;
 use baobabvane_tasks::Mailbox;
 use local_sync::mpsc::unbounded;
@@ -82,7 +82,7 @@
     /// organisation's name. Only organisations that use much of their quota are included.
     pub zone_use: Vec<(u32, f64)>,
     /// What is known of prompt parts that may crash endpoints, also from other instances.
-    pub crash_evidence: Vec<Evidence>,
+    pub crash_report: CrashReport,
 }
 
 /// The state that another instance reported.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -226,7 +226,7 @@
                 if let Some(age_ms) = state.store_read_age_ms {
                     self.directory.record_discovery_answer(now - age_ms as f64);
                 }
-                self.quarantine.merge(&state.local.crash_evidence, now);
+                self.quarantine.merge(&state.local.crash_report, now);
                 self.fleet.record_heartbeat(state, now);
             }
             SchedulerMessage::InstanceCounts { live, known } => {
@@ -514,7 +514,7 @@
             waiting: waiting.collect(),
             quota_totals: self.fleet.quota_totals(now),
             zone_use,
-            crash_evidence: self.quarantine.evidence_to_report(now),
+            crash_report: self.quarantine.report(now),
         }
     }
 }
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -341,6 +341,7 @@
 mod tests {
     use std::rc::Rc;
 
+    use baobabvane_decide::CrashReport;
     use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
     use super::*;
@@ -523,7 +524,7 @@
                 waiting: vec![],
                 quota_totals: self.instances[from].quota_totals(now),
                 zone_use: self.instances[from].zone_use(now),
-                crash_evidence: vec![],
+                crash_report: CrashReport::default(),
             };
             for receiver in to {
                 let state = PeerState {
