gateway: a stream that ends inside an event has been broken off

A stream may have neither a length nor chunks and end with its connection. When its endpoint ended, the gateway passed the beginning of an event on and closed the stream as complete, or passed a stream without any event, so that callers took a part for the whole.

Change: at the end of a stream, bytes that are no whole event mean that it has been broken off; so does the end of the connection before the first event if the stream has no length. The stream is resumed where the route allows it, else it is cut, and the attempt counts as a broken connection.

--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards an event stream to the caller.
 //!
-//! An incomplete event is forwarded only when the endpoint ends the stream properly. When an
-//! endpoint fails, the stream is resumed at another one after the last forwarded event if the
+//! Only complete events are forwarded, and a stream that ends inside one has been broken off, also
+//! if its end is proper otherwise. When an endpoint fails, the stream is resumed at another one after the last forwarded event if the
 //! route, its limit on attempts and the retry budget allow it. Events that the caller already has
 //! are recognised by their ids and not repeated.
 
@@ -133,7 +133,15 @@
                 }
             }
             Ok(None) => {
-                let trailing = parser.finish();
+                let has_events = parser.forwarded_events() > forwarded_before;
+                let is_cut_before_events = upstream.is_close_delimited() && !has_events;
+                let Some(trailing) = parser.finish().ok().filter(|_| !is_cut_before_events) else {
+                    const CAUSE: &str = "the stream ended before or inside an event";
+                    let error = WireError::UnexpectedEof;
+                    exchange.log_endpoint_failed(&endpoint_id, has_events, CAUSE, &error);
+                    in_flight.break_off(&error);
+                    return RelayEnd::Broken(CAUSE);
+                };
                 if conn.write_chunk(&trailing).await.is_err() {
                     return RelayEnd::CallerDisconnected;
                 }
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -49,6 +49,9 @@
     ForeignAnswerBefore(&'static str),
     /// Sends the answer to another request right after its own.
     ForeignAnswerAfter(&'static str),
+    /// Sends the events up to this number and then this text, without a length or chunks; the
+    /// stream ends when the connection closes.
+    EventsUntilClose(u64, &'static str),
     /// Answers without a length; the body ends when the connection closes.
     UntilClose(&'static str),
     /// Answers 200 without the signature header.
@@ -244,6 +247,15 @@
                 let other = signed_answer(200, "another", "not yours");
                 write(stream, signed_answer(200, &id, body) + &other).await
             }
+            Script::EventsUntilClose(last, rest) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n\
+                     baobabvane-signature: s\r\ncontent-type: text/event-stream\r\n\r\n"
+                );
+                let events = crate::fixture::events(last_event_id(request) + 1, last);
+                write(stream, head + &events + rest).await;
+                false
+            }
             Script::UntilClose(body) => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n\
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -153,3 +153,35 @@
         eventually(|| endpoint.cancelled_requests() == 1).await;
     });
 }
+
+#[test]
+fn stream_without_length_or_chunks_is_forwarded_to_its_end() {
+    block_on(async {
+        let endpoint = Endpoint::spawn("e1", "desk", &[Script::EventsUntilClose(5, "")]);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        assert_eq!(request_stream(&gateway, "/quotes/").await, (events(1, 5), true));
+    });
+}
+
+#[test]
+fn stream_that_ends_inside_an_event_is_broken_off() {
+    block_on(async {
+        let scripts = [Script::EventsUntilClose(3, "id: 4\nda"), Script::EventsUntilClose(6, "")];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        assert_eq!(request_stream(&gateway, "/answers/").await, (events(1, 6), true));
+        let endpoint = Endpoint::spawn("e1", "desk", &[Script::EventsUntilClose(3, "id: 4\nda")]);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        assert_eq!(request_stream(&gateway, "/quotes/").await, (events(1, 3), false));
+    });
+}
+
+#[test]
+fn stream_that_ends_with_its_connection_before_its_first_event_is_broken_off() {
+    block_on(async {
+        let scripts = [Script::EventsUntilClose(0, ""), Script::EventsUntilClose(6, "")];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        assert_eq!(request_stream(&gateway, "/answers/").await, (events(1, 6), true));
+    });
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -76,6 +76,7 @@
     body: BodyReader,
     keep_alive: bool,
     accepts_close_delimited: bool,
+    is_close_delimited: bool,
 }
 
 impl ClientConn {
@@ -91,6 +92,7 @@
             body: BodyReader::Done,
             keep_alive: true,
             accepts_close_delimited: false,
+            is_close_delimited: false,
         }
     }
 
@@ -147,6 +149,7 @@
                 true => Framing::Empty,
                 false => parse_framing(head.version, &head.headers)?,
             };
+            self.is_close_delimited = framing == Framing::NoLength;
             self.body = match framing {
                 Framing::NoLength if self.accepts_close_delimited => BodyReader::CloseDelimited,
                 framing => BodyReader::new(framing, MAX_CHUNK_BYTES),
@@ -157,6 +160,12 @@
         }
     }
 
+    /// Returns whether the body of the last response ends with the connection, so that its end does
+    /// not show that it is complete.
+    pub fn is_close_delimited(&self) -> bool {
+        self.is_close_delimited
+    }
+
     /// Returns the next bytes of the response body, or `None` once it has been read completely.
     pub async fn next_piece(&mut self) -> Result<Option<Bytes>, WireError> {
         self.body.next_piece(&mut self.framed).await
