quarantine: the store keeps which prompt parts are blocked

Cause: the finding was in memory only, and gossip needs an instance that survives.

Change: a part that stays blocked for a second is appended to the fleet's topic by the two watchers, with the end of its block, and read by instances when they join. Parts that are blocked only together are not kept.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -39,6 +39,9 @@
 /// process takes longer to start again under its id.
 const SAME_CRASH_MS: Millis = 1_000.0;
 
+/// A block that holds this long after the last crash will not be lifted by answers under way.
+const LASTING_BLOCK_MS: Millis = 1_000.0;
+
 /// How exact the times in reports are: each instance that passes one on adds the time that its
 /// heartbeat took.
 const REPORT_TOLERANCE_MS: Millis = 250.0;
@@ -95,7 +98,7 @@
 pub struct Block {
     /// The part of its prompt that crashes endpoints.
     pub part: PromptPart,
-    /// The number of crashes that speak against the part.
+    /// The number of crashes that speak against the part; 0 if they were before this instance began.
     pub crashes: usize,
     /// The time until the evidence is too old, in milliseconds.
     pub remaining_ms: Millis,
@@ -150,6 +153,8 @@
     working_at: FxHashMap<ProcessId, Millis>,
     /// The parts that explain the crashes, the likeliest first.
     verdicts: Vec<Verdict>,
+    /// The parts that were blocked before this instance began, and until when.
+    restored: FxHashMap<PromptPart, Millis>,
     /// The suspect with which the next report continues.
     next_reported: usize,
 }
@@ -212,12 +217,32 @@
         }
     }
 
+    /// Blocks a part that was blocked before this instance began.
+    pub fn restore(&mut self, part: PromptPart, remaining_ms: Millis, now: Millis) {
+        self.restored.insert(part, now + remaining_ms.min(EVIDENCE_LIFETIME_MS));
+    }
+
+    /// Returns the blocks that an instance that begins to run should know; parts that are blocked
+    /// only together are left out.
+    pub fn lasting_blocks(&self, now: Millis) -> Vec<Block> {
+        let single = self.verdicts.iter().filter(|v| v.is_blocked() && v.parts.len() == 1);
+        single
+            .filter_map(|verdict| self.block(verdict, now))
+            .filter(|block| EVIDENCE_LIFETIME_MS - block.remaining_ms >= LASTING_BLOCK_MS)
+            .collect()
+    }
+
     /// Returns why a request with these parts must not be sent, or `None` if it may.
     pub fn blocked(&self, parts: &[PromptPart], is_retry: bool, now: Millis) -> Option<Block> {
         let verdict = self.verdicts.iter().find(|verdict| {
             let stops_retry = is_retry && verdict.is_nearly_blocked();
             (verdict.is_blocked() || stops_retry) && verdict.applies_to(parts)
-        })?;
+        });
+        let by_verdict = verdict.and_then(|verdict| self.block(verdict, now));
+        by_verdict.or_else(|| parts.iter().find_map(|part| self.restored_block(*part, now)))
+    }
+
+    fn block(&self, verdict: &Verdict, now: Millis) -> Option<Block> {
         let part = verdict.parts[0];
         let newest = self.suspects.get(&part)?.newest_crash_at();
         let remaining_ms = newest + EVIDENCE_LIFETIME_MS - now;
@@ -225,6 +250,11 @@
         (remaining_ms > 0.0).then_some(Block { part, crashes, remaining_ms })
     }
 
+    fn restored_block(&self, part: PromptPart, now: Millis) -> Option<Block> {
+        let remaining_ms = self.restored.get(&part)? - now;
+        (remaining_ms > 0.0).then_some(Block { part, crashes: 0, remaining_ms })
+    }
+
     /// Returns the parts that are blocked, alone or together with others.
     pub fn blocked_parts(&self) -> impl Iterator<Item = PromptPart> {
         let blocked = self.verdicts.iter().filter(|verdict| verdict.is_blocked());
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -17,7 +17,7 @@
     peer::PeersMessage,
     quota::QuotaTolerance,
     retry::RetryBudget,
-    scheduler::SchedulerMessage,
+    scheduler::{BlockedPart, SchedulerMessage},
 };
 
 /// The share of the propagation bound that a long poll may take; the rest is for propagation to
@@ -37,6 +37,8 @@
 /// The age, in propagation bounds, up to which an instance that does not poll relies on the last
 /// confirmation of its configuration.
 const MAX_CONFIRMATION_AGE_IN_BOUNDS: u32 = 2;
+/// How often a watcher checks for prompt parts that it has to keep in the store.
+const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The fleet size up to which the retry delay equals that of a single instance. In larger
 /// fleets the delay grows in proportion, so that the rate of calls to the store does not.
 const RETRY_DELAY_BASE_FLEET_SIZE: f64 = 8.0;
@@ -156,6 +158,28 @@
         single_instance_delay.mul_f64(delay_factor.max(1.0) * rand::random_range(0.5..1.5))
     }
 
+    /// Blocks prompt parts that were found to crash endpoints before this instance began.
+    pub fn restore_blocked_parts(&self, blocked: Vec<BlockedPart>) {
+        self.scheduler.send(SchedulerMessage::RestoreBlockedParts(blocked));
+    }
+
+    /// Waits until prompt parts are blocked that are not in `kept` and that this instance has to
+    /// keep in the store for instances that begin to run, and returns them.
+    pub async fn next_blocked_parts(&self, kept: &[u32]) -> Vec<BlockedPart> {
+        loop {
+            sleep(BLOCK_CHECK_INTERVAL).await;
+            if self.knowledge.watcher_rank.get() >= WATCHER_COUNT {
+                continue;
+            }
+            let blocked = self.scheduler.ask(SchedulerMessage::ListBlockedParts).await;
+            let mut new = blocked.unwrap_or_default();
+            new.retain(|block| !kept.contains(&block.part));
+            if !new.is_empty() {
+                return new;
+            }
+        }
+    }
+
     fn must_poll(&self, propagation_bound: Duration) -> bool {
         let is_watcher = self.knowledge.watcher_rank.get() < WATCHER_COUNT;
         is_watcher
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,3 +43,4 @@
 pub use quota::QuotaTolerance;
 pub use ready::RenderMetrics;
 pub use retry::RetryBudget;
+pub use scheduler::BlockedPart;
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -87,12 +87,25 @@
         /// at least [`ASSUMED_FLEET_SIZE`](crate::peer::ASSUMED_FLEET_SIZE).
         known: u32,
     },
+    /// Blocks prompt parts that were found to crash endpoints before this instance began.
+    RestoreBlockedParts(Vec<BlockedPart>),
+    /// Asks for the blocked prompt parts that instances should know when they begin.
+    ListBlockedParts(oneshot::Sender<Vec<BlockedPart>>),
     /// Asks for the state that this instance reports in its heartbeats.
     GetLocalState(oneshot::Sender<LocalState>),
     /// Asks for the complete list of endpoints.
     ListEndpoints(oneshot::Sender<EndpointList>),
 }
 
+/// A prompt part that crashes endpoints, as it is kept for instances that begin to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlockedPart {
+    /// The hash of the part's id.
+    pub part: u32,
+    /// How much longer requests with the part are refused.
+    pub remaining: Duration,
+}
+
 struct PoolState {
     core: Core,
     retry_window: RetryWindow,
@@ -232,6 +245,24 @@
             SchedulerMessage::InstanceCounts { live, known } => {
                 self.fleet.set_instance_counts(live, known, now)
             }
+            SchedulerMessage::RestoreBlockedParts(blocked) => {
+                for BlockedPart { part, remaining } in blocked {
+                    log::info!(
+                        "event=prompt_part_restored part={part:08x} s={}",
+                        remaining.as_secs()
+                    );
+                    let remaining_ms = remaining.as_secs_f64() * 1_000.0;
+                    self.quarantine.restore(PromptPart(part), remaining_ms, now);
+                }
+            }
+            SchedulerMessage::ListBlockedParts(reply) => {
+                let blocks = self.quarantine.lasting_blocks(now).into_iter();
+                let blocked = blocks.map(|block| BlockedPart {
+                    part: block.part.0,
+                    remaining: Duration::from_secs_f64(block.remaining_ms / 1_000.0),
+                });
+                let _ = reply.send(blocked.collect());
+            }
             SchedulerMessage::GetLocalState(reply) => {
                 let _ = reply.send(self.local_state());
             }
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -1,10 +1,11 @@
 //! Tests of prompts that crash the endpoints that begin to answer them.
 
 use http::{Method, StatusCode};
+use monoio::time::timeout;
 
 use crate::{
     endpoint::{Endpoint, Script},
-    fixture::{Answer, GatewayFixture, block_on, events},
+    fixture::{Answer, GatewayFixture, WAIT_TIMEOUT, block_on, events},
 };
 
 /// The users' bound: crashes until the part is known, and the requests that may follow them.
@@ -79,3 +80,28 @@
         }
     });
 }
+
+#[test]
+fn instance_that_begins_blocks_the_parts_that_were_blocked_before() {
+    block_on(async {
+        let endpoints = spawn_endpoints();
+        let listed: Vec<&Endpoint> = endpoints.iter().collect();
+        let before = GatewayFixture::start(&listed).await;
+        // Tells the sound part of these prompts from the other one.
+        assert_eq!(ask(&before, REQUESTS, false).await.expect("an answer").status, 200);
+        for number in 0..REQUESTS {
+            ask(&before, number, true).await;
+        }
+        let blocked = timeout(WAIT_TIMEOUT, before.feed.next_blocked_parts(&[])).await;
+        let blocked = blocked.expect("a part that stays blocked");
+        assert_eq!(blocked.len(), 1);
+        let sent = count_deadly(&endpoints);
+
+        let restarted = GatewayFixture::start(&listed).await;
+        restarted.feed.restore_blocked_parts(blocked);
+        let refused = ask(&restarted, REQUESTS, true).await.expect("an answer");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(count_deadly(&endpoints), sent);
+        assert_eq!(ask(&restarted, REQUESTS, false).await.expect("an answer").status, 200);
+    });
+}
