--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -16,9 +16,9 @@
 ///
 /// Each end of a block costs endpoints, until the part is blocked again.
 const EVIDENCE_LIFETIME_MS: Millis = 600_000.0;
-/// Crashes after which a part is blocked whose answer never began, as far as is known.
+/// Crashes after which a part is blocked if no answer with it ever began, as far as is known.
 const CRASHES_TO_BLOCK: usize = 3;
-/// Crashes after which a part is blocked whose answer began before the first of them.
+/// Crashes after which a part is blocked if an answer with it began before the first of them.
 const CRASHES_TO_BLOCK_PROVEN: usize = 5;
 /// Crashes within this time count as one: a prompt ends one endpoint at a time, while a loss of
 /// power ends many at once.
@@ -31,17 +31,15 @@
 const MAX_CRASHES_PER_PART: usize = 16;
 /// The number of endpoints that are remembered to work.
 const MAX_REMEMBERED_ENDPOINTS: usize = 4_096;
-/// The number of parts in one [`Quarantine::evidence_to_report`].
+/// The number of parts in one [`Quarantine::report`].
 const MAX_REPORTED_PARTS: usize = 8;
 /// How long evidence that changed is part of every report.
 const CHANGE_REPORTED_MS: Millis = 2_000.0;
 /// Reports of one process within this time tell of the same crash: their ages are not exact, and a
 /// process takes longer to start again under its id.
 const SAME_CRASH_MS: Millis = 1_000.0;
-
 /// A block that holds this long after the last crash will not be lifted by answers under way.
 const LASTING_BLOCK_MS: Millis = 1_000.0;
-
 /// How exact the times in reports are: each instance that passes one on adds the time that its
 /// heartbeat took.
 const REPORT_TOLERANCE_MS: Millis = 250.0;
@@ -155,8 +153,8 @@
     verdicts: Vec<Verdict>,
     /// The parts that were blocked before this instance began, and until when.
     restored: FxHashMap<PromptPart, Millis>,
-    /// The suspect with which the next report continues.
-    next_reported: usize,
+    /// Counts reports, to select the suspect whose turn it is.
+    report_count: usize,
 }
 
 impl Quarantine {
@@ -277,8 +275,8 @@
         reported
             .sort_by(|a, b| self.suspects[b].changed_at.total_cmp(&self.suspects[a].changed_at));
         reported.truncate(MAX_REPORTED_PARTS - 1);
-        self.next_reported += 1;
-        if let Some(next) = order.get(self.next_reported % order.len().max(1))
+        self.report_count += 1;
+        if let Some(next) = order.get(self.report_count % order.len().max(1))
             && !reported.contains(next)
         {
             reported.push(*next);
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -1,9 +1,9 @@
 //! Forwards an event stream to the caller.
 //!
 //! Only complete events are forwarded, and a stream that ends inside one has been broken off, also
-//! if its end is proper otherwise. When an endpoint fails, the stream is resumed at another one after the last forwarded event if the
-//! route, its limit on attempts and the retry budget allow it. Events that the caller already has
-//! are recognised by their ids and not repeated.
+//! if its end is proper otherwise. When an endpoint fails, the stream is resumed at another one
+//! after the last forwarded event if the route, its limit on attempts and the retry budget allow
+//! it. Events that the caller already has are recognised by their ids and not repeated.
 
 use std::time::Duration;
 
