gateway: test of removals learned from a peer lets the outage begin before the reader reads

Cause: in the test, the reader's only read of discovery could come before the follower's scheduler had recorded the beginning of its outage, as the messages of both wait for their tasks. Such a read does not end the outage, and no other follows. Instances of a fleet read again and again, so the next read ends the outage there; the fault is the test's.

Change: both instances answer a request before the reader reads, which shows that their schedulers have handled the messages sent before. All else is checked as before.

--- a/crates/gateway/tests/testsuite/discovery.rs
+++ b/crates/gateway/tests/testsuite/discovery.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use baobabvane_gateway::{Configuration, Semantics};
+use http::StatusCode;
 use monoio::time::{Instant, sleep};
 
 use crate::{
@@ -43,6 +44,10 @@
             gateway.feed.discovery_lost();
             gateway.feed.set_fleet_secret("secret");
         }
+        // The answers show that both schedulers have recorded the beginning of the outage.
+        for gateway in [&reader, &follower] {
+            assert_eq!(gateway.get("/reads/").await.status, StatusCode::OK);
+        }
         follower.feed.add_seed_peers(vec![reader.peer_address]);
 
         reader.feed.configuration_confirmed();
