gateway: test fixture draws another port when the first one was taken

Seen: 3 of 600 plays of one test, 70 at a time, ended with 'Address already in use', as the port for other instances is drawn, closed and bound again, and another process drew it meanwhile.

Change: the fixture draws again then; any other error still fails.

--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -1,6 +1,6 @@
 //! Test fixture that starts a gateway with its endpoints and sends requests as a caller.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_gateway::{
     Configuration, DiscoveredEndpoint, Feed, Gateway, GatewaySettings, HeaderNames, Organisation,
@@ -105,6 +105,16 @@
 
     /// Starts a gateway that has received neither its configuration nor endpoints.
     pub(crate) async fn start_unconfigured(configuration: Configuration) -> Self {
+        loop {
+            match Self::try_start(configuration.clone()) {
+                Ok(fixture) => return fixture,
+                // Another process took the peer port after it was drawn.
+                Err(e) => assert_eq!(e.kind(), io::ErrorKind::AddrInUse, "{e}"),
+            }
+        }
+    }
+
+    fn try_start(configuration: Configuration) -> io::Result<Self> {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let peer_address = free_address();
         let gateway = Gateway::bind(GatewaySettings {
@@ -123,12 +133,10 @@
         let caller_address = gateway.caller_address().expect("a bound socket has an address");
         let ready_address = gateway.ready_address().expect("a bound socket has an address");
         let stop = StopHandle::default();
-        let gateway = gateway
-            .spawn(HeaderNames::default(), stop.clone(), Rc::new(String::new))
-            .expect("the OS assigns a free port");
+        let gateway = gateway.spawn(HeaderNames::default(), stop.clone(), Rc::new(String::new))?;
         let feed = gateway.feed();
         monoio::spawn(gateway.until_stopped());
-        Self { feed, stop, configuration, caller_address, ready_address, peer_address }
+        Ok(Self { feed, stop, configuration, caller_address, ready_address, peer_address })
     }
 
     pub(crate) fn list_endpoints(&self, endpoints: &[&Endpoint]) {
