gateway: log why a prompt part is released, and errors of endpoints with the prompt's parts

Two hypotheses:

An answer that is none, such as an error of the endpoint, counts as proof that the part is sound, so that all crashes before it no longer count. 2. The evidence itself is lost or changes, at one of the limits on what is remembered (16 crashes a part, 64 parts), which fleets of up to 24 instances in the tests do not reach.

Change: prompt_part_blocked and prompt_part_released have the number of crashes that are remembered and the time since the last answer; suspect_part_answered says that an answer acquits a part; endpoint_error has the status and the parts of the prompt.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -46,5 +46,5 @@
         Refusal, Speed, Ticket, WaitingCounts, Why,
     },
     policy::{Placement, Policy, TierPolicy},
-    quarantine::{Block, CrashReport, Evidence, ProcessId, Quarantine},
+    quarantine::{Block, CrashReport, Evidence, PartRecord, ProcessId, Quarantine},
 };
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -102,6 +102,15 @@
     pub remaining_ms: Millis,
 }
 
+/// What is known of a part.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PartRecord {
+    /// The number of crashes of requests with this part that are remembered, whatever explains them.
+    pub crashes: usize,
+    /// The time since an answer to a request with this part last began, if one did, in milliseconds.
+    pub answered_age_ms: Option<Millis>,
+}
+
 #[derive(Clone, Debug)]
 struct Suspect {
     /// The endpoints that crashed with a request of this part, and when.
@@ -160,21 +169,23 @@
 impl Quarantine {
     /// Records that the answer to a request with these parts began. The request had been sent to
     /// `endpoint` at `sent_at`.
+    ///
+    /// Returns the parts that were suspect until now.
     pub fn record_answer(
         &mut self,
         endpoint: ProcessId,
         sent_at: Millis,
         parts: &[PromptPart],
         now: Millis,
-    ) {
-        let mut has_changed = self.add_proof_of_work(endpoint, sent_at, now);
-        for part in parts {
-            has_changed |= self.add_answer(*part, now, now);
-        }
+    ) -> SmallVec<[PromptPart; 2]> {
+        let has_worked = self.add_proof_of_work(endpoint, sent_at, now);
+        let cleared: SmallVec<[PromptPart; 2]> =
+            parts.iter().copied().filter(|part| self.add_answer(*part, now, now)).collect();
         forget_oldest(&mut self.answered_at, MAX_REMEMBERED_PARTS);
-        if has_changed {
+        if has_worked || !cleared.is_empty() {
             self.judge(now);
         }
+        cleared
     }
 
     /// Records that the connection to `endpoint` broke before the answer to a request with these
@@ -253,6 +264,14 @@
         (remaining_ms > 0.0).then_some(Block { part, crashes: 0, remaining_ms })
     }
 
+    /// Returns what is known of a part, for logs.
+    pub fn record_of(&self, part: PromptPart, now: Millis) -> PartRecord {
+        PartRecord {
+            crashes: self.suspects.get(&part).map_or(0, |suspect| suspect.crashes.len()),
+            answered_age_ms: self.answered_at.get(&part).map(|at| now - at),
+        }
+    }
+
     /// Returns the parts that are blocked, alone or together with others.
     pub fn blocked_parts(&self) -> impl Iterator<Item = PromptPart> {
         let blocked = self.verdicts.iter().filter(|verdict| verdict.is_blocked());
--- a/crates/gateway/src/caller/report.rs
+++ b/crates/gateway/src/caller/report.rs
@@ -53,7 +53,16 @@
             AttemptFailure::NotSent => (Verdict::NotRun, "the endpoint could not be reached"),
             AttemptFailure::NotRun(cause) => (Verdict::NotRun, *cause),
             AttemptFailure::MayHaveRun(cause) => (Verdict::MayHaveRun, *cause),
-            AttemptFailure::ErrorResponse(_) => {
+            AttemptFailure::ErrorResponse(res) => {
+                self.log(
+                    "endpoint_error",
+                    format_args!(
+                        "endpoint={} status={} shared_parts={}",
+                        grant.id,
+                        res.status().as_u16(),
+                        self.request.prompt.shared_parts
+                    ),
+                );
                 (Verdict::Ran, "the endpoint answered with an error")
             }
             AttemptFailure::Refused(_) | AttemptFailure::Stopping => return,
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -10,11 +10,12 @@
 use std::{rc::Rc, time::Duration};
 
 use baobabvane_decide::{
-    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, Policy,
-    ProcessId, PromptPart, Quarantine, Rank, Ticket, Why,
+    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, PartRecord,
+    Policy, ProcessId, PromptPart, Quarantine, Rank, Ticket, Why,
 };
 use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
+use log::Level;
 use monoio::time::Instant;
 use rustc_hash::FxHashMap;
 
@@ -212,7 +213,13 @@
                     && let Some((process, sent_at)) = request.sent
                 {
                     let parts = &request.shared_parts.0;
-                    self.quarantine.record_answer(process, sent_at, parts, now);
+                    for part in self.quarantine.record_answer(process, sent_at, parts, now) {
+                        let crashes = self.quarantine.record_of(part, now).crashes;
+                        log::info!(
+                            "event=suspect_part_answered part={:08x} crashes={crashes}",
+                            part.0
+                        );
+                    }
                 }
                 self.notify_request_pool(ticket, Event::FirstToken(ticket))
             }
@@ -505,14 +512,23 @@
         }
         for part in blocked.iter().filter(|part| !self.logged_blocked_parts.contains(part)) {
             metrics::counter!("baobabvane_gateway_prompt_parts_blocked_total").increment(1);
-            log::warn!("event=prompt_part_blocked part={:08x}", part.0);
+            self.log_part(Level::Warn, "prompt_part_blocked", *part);
         }
         for part in self.logged_blocked_parts.iter().filter(|part| !blocked.contains(part)) {
-            log::info!("event=prompt_part_released part={:08x}", part.0);
+            self.log_part(Level::Info, "prompt_part_released", *part);
         }
         self.logged_blocked_parts = blocked;
     }
 
+    fn log_part(&self, level: Level, event: &str, part: PromptPart) {
+        let PartRecord { crashes, answered_age_ms } = self.quarantine.record_of(part, self.now());
+        log::log!(
+            level,
+            "event={event} part={:08x} crashes={crashes} answered_age_ms={answered_age_ms:.0?}",
+            part.0
+        );
+    }
+
     /// Updates the cores' record of the load that other instances put on each endpoint.
     fn update_peer_loads(&mut self, now: f64) {
         let Some(loads) = self.fleet.take_changed_loads(now) else { return };
