gateway: an error of an endpoint is no proof that its prompt is sound

Cause: the first bytes of any response counted as the beginning of an answer, errors included. An endpoint's own 500 to a prompt with a part that crashes endpoints so acquitted the part, and all crashes before it no longer counted. The same cause elsewhere: the speed that is learned of an endpoint took the time to an error for the time to the first token, which makes an endpoint that fails at once look fast.

Change: only a successful response is the beginning of an answer, for both.

Test: errors_of_endpoints_do_not_acquit_a_part_that_crashes_them; endpoints answer the first request with 500 and crash on the next.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -382,7 +382,10 @@
                 endpoint_id,
             })));
         }
-        in_flight.record_response_start();
+        // An error tells nothing of how the endpoint answers such a prompt.
+        if head.status().is_success() {
+            in_flight.record_response_start();
+        }
         self.read_complete_response(grant, in_flight, upstream, head).await
     }
 
--- a/crates/gateway/src/caller/flight.rs
+++ b/crates/gateway/src/caller/flight.rs
@@ -36,7 +36,7 @@
 }
 
 impl InFlightRequest {
-    /// Notifies the scheduler of the first data of the response; later calls do nothing.
+    /// Notifies the scheduler of the first data of a successful response; later calls do nothing.
     pub(super) fn record_response_start(&mut self) {
         if !std::mem::replace(&mut self.has_response_started, true) {
             self.scheduler.send(SchedulerMessage::AnswerStarted(self.ticket));
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -67,7 +67,7 @@
     /// Cancels the placement of a request that no longer waits for its grant, because its
     /// caller disconnected or its timeout elapsed.
     CancelPlacement(Ticket),
-    /// Reports that the first part of an answer arrived.
+    /// Reports that the first part of a successful answer arrived.
     AnswerStarted(Ticket),
     /// Reports the number of requests that an endpoint states it is processing.
     LoadReported(EndpointKey, u32),
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -122,13 +122,18 @@
         *self.cancelled.borrow()
     }
 
+    /// Returns whether a prompt has crashed the endpoint.
+    pub(crate) fn has_crashed(&self) -> bool {
+        *self.has_crashed.borrow()
+    }
+
     /// Returns the number of bytes that answers without end have written.
     pub(crate) fn endless_bytes(&self) -> usize {
         *self.bytes_written.borrow()
     }
 
     async fn accept(self, listener: TcpListener) {
-        while !*self.has_crashed.borrow() {
+        while !self.has_crashed() {
             match timeout(CRASH_CHECK_INTERVAL, listener.accept()).await {
                 Ok(Ok((stream, _))) => drop(monoio::spawn(self.clone().serve(stream))),
                 Ok(Err(_)) => return,
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -54,6 +54,21 @@
     });
 }
 
+#[test]
+fn errors_of_endpoints_do_not_acquit_a_part_that_crashes_them() {
+    block_on(async {
+        let scripts = [Script::Answer(500, "failed"), Script::CrashOnPart("dead")];
+        let spawn = |i| Endpoint::spawn(&format!("e{i}"), "desk", &scripts);
+        let endpoints: Vec<Endpoint> = (0..12).map(spawn).collect();
+        let gateway = GatewayFixture::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        for number in 0..3 * REQUESTS {
+            ask(&gateway, number, true).await;
+        }
+        let crashed = endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count();
+        assert!((1..=MAX_SENT).contains(&crashed), "{crashed} of 12 endpoints crashed");
+    });
+}
+
 #[test]
 fn instances_share_what_they_know_of_prompts_that_crash_endpoints() {
     block_on(async {
