events: a long line that comes in small pieces is searched once

Cause: with each piece of a stream the parser searched the last line from its beginning. An event without end has one line of up to 1 MiB; in pieces of 64 bytes that is 8 GB to search. Log of a failed play (trial): stream_cut cause='out of time' ms=21367, so the limit of 1 MiB was not reached within the route's 20 s. A faulty endpoint could take an instance's processor that way.

Change: the parser also remembers up to where the last line has been searched.

Test: bytes_of_a_long_line_are_searched_once. On the parser before, what it asserts does not hold: the search began at 0 again. The events of a stream stay the same however the bytes arrive (test).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -24,8 +24,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventParser {
     partial: BytesMut,
-    /// The length of `partial` up to its last complete line, where the search for the end of the
-    /// event continues.
+    /// Where the last line of `partial` begins.
+    line_start: usize,
+    /// Up to where `partial` has been searched for the end of the event.
     searched: usize,
     last_event_id: Option<u64>,
     forwarded_events: u32,
@@ -66,7 +67,7 @@
         let mut forwarded = BytesMut::new();
         while let Some(end) = self.find_event_end() {
             let event = self.partial.split_to(end);
-            self.searched = 0;
+            self.restart_search();
             let id = event_id(&event);
             if id.is_some_and(|id| self.last_event_id.is_some_and(|last| id <= last)) {
                 continue;
@@ -84,21 +85,25 @@
 
     /// Returns the length of the first event with the blank line that ends it, if it is complete.
     fn find_event_end(&mut self) -> Option<usize> {
-        let mut line_start = self.searched;
         for (i, byte) in self.partial.iter().enumerate().skip(self.searched) {
             if *byte != b'\n' {
                 continue;
             }
-            let line = &self.partial[line_start..i];
+            let line = &self.partial[self.line_start..i];
             if line.is_empty() || line == b"\r" {
                 return Some(i + 1);
             }
-            line_start = i + 1;
+            self.line_start = i + 1;
         }
-        self.searched = line_start;
+        self.searched = self.partial.len();
         None
     }
 
+    fn restart_search(&mut self) {
+        self.line_start = 0;
+        self.searched = 0;
+    }
+
     /// Takes the blank bytes after the last event at the end of the stream.
     ///
     /// # Errors
@@ -108,13 +113,13 @@
         if !self.partial.trim_ascii().is_empty() {
             return Err(EndedInsideEvent);
         }
-        self.searched = 0;
+        self.restart_search();
         Ok(self.partial.split().freeze())
     }
 
     /// Discards an incomplete event, before the stream is resumed at another endpoint.
     pub(crate) fn discard_partial(&mut self) {
-        self.searched = 0;
+        self.restart_search();
         self.partial.clear();
     }
 
@@ -183,6 +188,15 @@
         }
     }
 
+    #[test]
+    fn bytes_of_a_long_line_are_searched_once() {
+        let mut events = EventParser::default();
+        for pieces in 1..100 {
+            events.push(b"data: a line without end").unwrap();
+            assert_eq!(events.searched, pieces * 24);
+        }
+    }
+
     #[test]
     fn event_without_end_is_an_error() {
         let mut events = EventParser::default();
