gateway: read the rate limit that endpoints name, and log its changes

Cause: nothing decodes the header, so logs cannot tell whether instances do not know the limit or do not keep to it. Change: SelfReport is what an endpoint says of itself in the head of an answer; endpoint_rate_limit is logged when its limit begins, changes or ends. No decision uses it yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 //!   those that `long_work` allows for the request;
 //! - `limit`, `breaker` and `budget` protect endpoints that are overloaded or failing;
 //! - `quarantine` finds prompts that crash endpoints;
+//! - `self_report` keeps what endpoints say of themselves in answers;
 //! - `learn` holds the moving averages behind the estimates.
 //!
 //! See [decisions](../../../docs/decisions.md) for the design alternatives.
@@ -36,6 +37,7 @@
 mod quarantine;
 mod queue;
 mod ready;
+mod self_report;
 mod shed;
 
 pub use crate::{
@@ -47,4 +49,5 @@
     },
     policy::{Placement, Policy, TierPolicy},
     quarantine::{Block, CrashReport, Evidence, PartRecord, ProcessId, Quarantine},
+    self_report::{SelfReport, SelfReports},
 };
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -23,7 +23,7 @@
     configuration::{QuotaUnit, Semantics},
     context::Context,
     headers::{self, LAST_EVENT_ID},
-    scheduler::{Grant, PlacementRequest, QuotaCharge, Refused, id_hash},
+    scheduler::{Grant, PlacementRequest, QuotaCharge, Refused, SchedulerMessage, id_hash},
 };
 
 /// The endpoint's timeout is shorter than the time left by this margin, so that its own timeout
@@ -335,6 +335,7 @@
         self.attempts.set(self.attempts.get() + 1);
         let previous_verdict = self.verdict.replace(Verdict::MayHaveRun);
         let AdmittedRequest { method, uri, body, .. } = &self.request;
+        let sent_at = Instant::now();
         if let Err(e) = upstream.send(method, uri, &headers, body.clone()).await {
             const CAUSE: &str = "the request could not be sent";
             self.log_endpoint_failed(&grant.id, false, CAUSE, &e);
@@ -355,13 +356,11 @@
                 return Err(AttemptFailure::MayHaveRun("the endpoint is silent"));
             }
         };
-        if let Some(requests) =
-            headers::outstanding_requests(head.headers(), &self.cx.header_names.load)
-        {
-            self.cx
-                .scheduler
-                .send(crate::scheduler::SchedulerMessage::LoadReported(grant.endpoint, requests));
-        }
+        self.cx.scheduler.send(SchedulerMessage::EndpointReported(
+            grant.endpoint,
+            headers::self_report(head.headers(), &self.cx.header_names),
+            sent_at.elapsed(),
+        ));
         if head.headers().contains_key(&self.cx.header_names.not_executed)
             || head.status() == StatusCode::MISDIRECTED_REQUEST
         {
@@ -424,9 +423,7 @@
         // healthy, and its load header already reports how full it is.
         in_flight.end(Ending::Lost);
         if head.status() == StatusCode::MISDIRECTED_REQUEST {
-            self.cx
-                .scheduler
-                .send(crate::scheduler::SchedulerMessage::MisdirectedRequest(grant.endpoint));
+            self.cx.scheduler.send(SchedulerMessage::MisdirectedRequest(grant.endpoint));
             return AttemptFailure::NotRun("another endpoint has the address");
         }
         if let Ok(Ok(_)) = timeout(DISCARD_TIMEOUT, upstream.read_body(MAX_DISCARDED_BYTES)).await {
@@ -504,6 +501,7 @@
         baobabvane_wire::remove_hop_by_hop(headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(&self.cx.header_names.load);
+        headers.remove(&self.cx.header_names.rate_limit);
     }
 
     fn attempt_headers(
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -2,6 +2,7 @@
 //!
 //! A header that is missing or malformed reads as `None`, never as an error.
 
+use baobabvane_decide::SelfReport;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Names of headers that differ between deployments; the platform's adapter supplies them.
@@ -27,6 +28,9 @@
     pub signature: HeaderName,
     /// Response: the endpoint's running requests, waiting requests and slots, separated by commas.
     pub load: HeaderName,
+    /// Response: the requests per second that the endpoint takes from all instances together, a
+    /// decimal number.
+    pub rate_limit: HeaderName,
     /// Response: present if the endpoint did not run the request.
     pub not_executed: HeaderName,
     /// Request: further headers that callers may not set; removed before forwarding.
@@ -46,6 +50,7 @@
             organisation: name("baobabvane-organisation"),
             signature: name("baobabvane-signature"),
             load: name("baobabvane-load"),
+            rate_limit: name("baobabvane-rate-limit"),
             not_executed: name("baobabvane-not-executed"),
             reserved: Vec::new(),
         }
@@ -65,8 +70,22 @@
     text(headers, name)?.parse().ok()
 }
 
+/// Returns what an endpoint says of itself in the head of an answer.
+pub(crate) fn self_report(headers: &HeaderMap, names: &HeaderNames) -> SelfReport {
+    SelfReport {
+        outstanding_requests: outstanding_requests(headers, &names.load),
+        rate_limit_per_s: decimal(headers, &names.rate_limit),
+    }
+}
+
+/// Returns a header's value as a finite, non-negative decimal number.
+fn decimal(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    let number: f64 = text(headers, name)?.parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
+
 /// Returns how many requests an endpoint reports as running or waiting in its load header.
-pub(crate) fn outstanding_requests(headers: &HeaderMap, name: &HeaderName) -> Option<u32> {
+fn outstanding_requests(headers: &HeaderMap, name: &HeaderName) -> Option<u32> {
     let mut parts = text(headers, name)?.split(',').map(|p| p.trim().parse::<u32>());
     let running = parts.next()?.ok()?;
     let waiting = parts.next()?.ok()?;
@@ -90,4 +109,22 @@
         headers.insert(&name, HeaderValue::from_static("3"));
         assert_eq!(outstanding_requests(&headers, &name), None);
     }
+
+    #[test]
+    fn a_rate_limit_is_a_non_negative_decimal_number() {
+        let names = HeaderNames::default();
+        for (value, limit) in [
+            ("4", Some(4.0)),
+            (" 1.8 ", Some(1.8)),
+            ("0", Some(0.0)),
+            ("-1", None),
+            ("nan", None),
+            ("inf", None),
+            ("many", None),
+        ] {
+            let mut headers = HeaderMap::new();
+            headers.insert(&names.rate_limit, HeaderValue::from_static(value));
+            assert_eq!(self_report(&headers, &names).rate_limit_per_s, limit, "{value}");
+        }
+    }
 }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -11,7 +11,7 @@
 
 use baobabvane_decide::{
     Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, PartRecord,
-    Policy, ProcessId, PromptPart, Quarantine, Rank, Ticket, Why,
+    Policy, ProcessId, PromptPart, Quarantine, Rank, SelfReport, SelfReports, Ticket, Why,
 };
 use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
@@ -69,8 +69,9 @@
     CancelPlacement(Ticket),
     /// Reports that the first part of a successful answer arrived.
     AnswerStarted(Ticket),
-    /// Reports the number of requests that an endpoint states it is processing.
-    LoadReported(EndpointKey, u32),
+    /// Reports what an endpoint says of itself in an answer, and the time since its request was
+    /// sent.
+    EndpointReported(EndpointKey, SelfReport, Duration),
     /// Reports that the connection of a request broke before its answer began; it ends, too.
     ConnectionBroke(Ticket),
     /// Reports the outcome of a dispatched request.
@@ -133,6 +134,7 @@
     requests: FxHashMap<Ticket, TrackedRequest>,
     fleet: FleetState,
     quarantine: Quarantine,
+    self_reports: SelfReports,
     /// The blocked parts that have been logged.
     logged_blocked_parts: Vec<PromptPart>,
     /// The availability zone of this instance.
@@ -153,6 +155,7 @@
         requests: FxHashMap::default(),
         fleet: FleetState::new(id_hash(zone)),
         quarantine: Quarantine::default(),
+        self_reports: SelfReports::default(),
         logged_blocked_parts: Vec::new(),
         zone: zone.to_owned(),
     };
@@ -230,9 +233,8 @@
                     self.quarantine.record_crash(process, &request.shared_parts.0, now);
                 }
             }
-            SchedulerMessage::LoadReported(key, requests) => {
-                let report = LoadReport { requests, age_ms: 0.0 };
-                self.notify_endpoint_pool(key, Event::LoadReported(key, report));
+            SchedulerMessage::EndpointReported(key, report, elapsed) => {
+                self.record_self_report(key, &report, now - elapsed.as_secs_f64() * 1_000.0, now);
             }
             SchedulerMessage::RequestEnded(ticket, ending) => {
                 self.notify_request_pool(ticket, Event::End(ticket, ending));
@@ -360,6 +362,27 @@
         }
     }
 
+    fn record_self_report(
+        &mut self,
+        key: EndpointKey,
+        report: &SelfReport,
+        sent_at: f64,
+        now: f64,
+    ) {
+        let Some(endpoint) = self.directory.get(key) else { return };
+        if self.self_reports.record(process_id(endpoint), report, sent_at, now) {
+            log::info!(
+                "event=endpoint_rate_limit endpoint={} per_s={:?}",
+                endpoint.id,
+                report.rate_limit_per_s
+            );
+        }
+        if let Some(requests) = report.outstanding_requests {
+            let load = LoadReport { requests, age_ms: 0.0 };
+            self.notify_endpoint_pool(key, Event::LoadReported(key, load));
+        }
+    }
+
     fn notify_request_pool(&mut self, ticket: Ticket, event: Event) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let pool = Rc::clone(&request.pool);
@@ -471,6 +494,7 @@
                 }
                 EndpointChange::Gone(key, endpoint) => {
                     log::info!("event=endpoint_gone endpoint={}", endpoint.id);
+                    self.self_reports.forget(process_id(&endpoint));
                     let pool = Rc::from(endpoint.pool.as_str());
                     self.notify_pool(&pool, Event::EndpointGone(key));
                 }
