decide: instances keep to the rate limits of endpoints, together

What callers and endpoints saw: an endpoint in need that named a limit of 4 requests a second went on getting 7 to 8. Cause: nothing in the product knew a rate for an endpoint; room was a count of slots. Change: SelfReports keeps the limits and passes them on in heartbeats, ordered by a generation; Senders divides a limit among a few instances by demand, and a token bucket at the endpoint counts every dispatch. Why it works: the parts of all instances with the same view add up to the limit, and their bursts to at most 2 s of it; parts of a divided network use their share of the instances.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -153,6 +153,12 @@
                 }
                 self.refresh(key);
             }
+            Event::RateShared(key, share) => {
+                if let Some(endpoint) = self.endpoints.get_mut(key) {
+                    endpoint.set_rate_share(self.now, share);
+                }
+                self.refresh(key);
+            }
             Event::PeerLoadUpdated(key, peer_load) => {
                 if let Some(endpoint) = self.endpoints.get_mut(key) {
                     endpoint.set_peer_load(peer_load);
--- a/crates/decide/src/core/endpoints.rs
+++ b/crates/decide/src/core/endpoints.rs
@@ -84,8 +84,10 @@
         }
         let overcommit_ratio =
             (self.mean_load_age_ms / self.request_duration_ms.get()).min(MAX_OVERCOMMIT_RATIO);
+        let request_duration_ms = self.request_duration_ms.get();
         for (key, endpoint) in &mut self.endpoints {
             if redraws_allowance {
+                endpoint.set_request_duration(request_duration_ms);
                 endpoint.set_overcommit_ratio(overcommit_ratio);
                 endpoint.redraw_allowance(self.now, self.pool_share, self.random.unit());
             }
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -5,6 +5,7 @@
     event::{EndpointLoad, EndpointSpec, LoadReport, Millis, Speed},
     learn::{Average, LinearFit},
     limit::InFlightLimit,
+    rate_share::{RateBucket, RateShare},
 };
 
 /// If fewer uncached tokens, including those queued ahead, were prefilled before a first token,
@@ -91,6 +92,10 @@
     /// Requests allowed beyond the in-flight limit, as a ratio of it.
     overcommit_ratio: f64,
     in_flight_peaks: InFlightPeaks,
+    /// What this scheduler may still send, if the endpoint has a rate limit.
+    rate_bucket: Option<RateBucket>,
+    /// Mean time that a request of the pool spends at an endpoint.
+    request_duration_ms: Millis,
 }
 
 /// Peak of this scheduler's requests in flight in the current and the previous window.
@@ -147,6 +152,8 @@
             excess_allowance: 0,
             overcommit_ratio: 0.0,
             in_flight_peaks: InFlightPeaks::default(),
+            rate_bucket: None,
+            request_duration_ms: 0.0,
         }
     }
 
@@ -172,6 +179,10 @@
             return 0;
         }
         let limit = if self.has_adaptive_limit { self.limit.get() } else { self.slots };
+        if let Some(bucket) = &self.rate_bucket {
+            let in_flight = bucket.limit_per_s() * self.request_duration_ms / 1_000.0;
+            return limit.min(in_flight.ceil() as u32);
+        }
         limit + (f64::from(limit) * self.overcommit_ratio).round() as u32
     }
 
@@ -180,6 +191,9 @@
         if self.is_leaving {
             return 0;
         }
+        if let Some(bucket) = &self.rate_bucket {
+            return self.slots.min(self.in_flight + bucket.available(now));
+        }
         let limit = self.shared_limit();
         let age = now - self.foreign_as_of;
         let foreign_requests = self.foreign_requests * (-age / REPORT_HALF_LIFE_MS).exp2();
@@ -192,7 +206,9 @@
     /// Returns how many more requests may be sent now by a scheduler that has its share of
     /// the pool in flight.
     pub(crate) fn free_beyond_share(&self, now: Millis) -> u32 {
-        self.free_room(now).min(self.excess_allowance)
+        let free = self.free_room(now);
+        // No other scheduler can use this one's part of a rate limit.
+        if self.rate_bucket.is_some() { free } else { free.min(self.excess_allowance) }
     }
 
     /// Sets the ratio of requests allowed beyond the in-flight limit, which wait inside the
@@ -213,6 +229,19 @@
         self.peer_load = peer_load;
     }
 
+    /// Replaces the part of the endpoint's rate limit that this scheduler may use.
+    pub(crate) fn set_rate_share(&mut self, now: Millis, share: Option<RateShare>) {
+        match (share, &mut self.rate_bucket) {
+            (Some(share), Some(bucket)) => bucket.set_share(share, now),
+            (Some(share), None) => self.rate_bucket = Some(RateBucket::new(share, now)),
+            (None, _) => self.rate_bucket = None,
+        }
+    }
+
+    pub(crate) fn set_request_duration(&mut self, request_duration_ms: Millis) {
+        self.request_duration_ms = request_duration_ms;
+    }
+
     /// Returns this scheduler's own load at the endpoint.
     pub(crate) fn load(&self) -> EndpointLoad {
         EndpointLoad {
@@ -284,6 +313,9 @@
             self.last_progress_at = now;
         }
         self.in_flight += 1;
+        if let Some(bucket) = &mut self.rate_bucket {
+            bucket.take(now);
+        }
         self.excess_allowance = self.excess_allowance.saturating_sub(1);
         let sent = SentRequest {
             sent_at: now,
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -4,6 +4,8 @@
 use slotmap::new_key_type;
 use smallvec::SmallVec;
 
+use crate::RateShare;
+
 new_key_type! {
     /// Identifies an endpoint within one core; the driver allocates it.
     pub struct EndpointKey;
@@ -176,6 +178,9 @@
     EndpointGone(EndpointKey),
     /// An endpoint reported its load.
     LoadReported(EndpointKey, LoadReport),
+    /// The part of an endpoint's rate limit that this scheduler may use changed; `None` if the
+    /// endpoint has no limit.
+    RateShared(EndpointKey, Option<RateShare>),
     /// The summed load of all other schedulers at an endpoint changed.
     PeerLoadUpdated(EndpointKey, EndpointLoad),
     /// The set of schedulers that share the pool, or the age of their loads, changed.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,7 +18,8 @@
 //!   those that `long_work` allows for the request;
 //! - `limit`, `breaker` and `budget` protect endpoints that are overloaded or failing;
 //! - `quarantine` finds prompts that crash endpoints;
-//! - `self_report` keeps what endpoints say of themselves in answers;
+//! - `self_report` keeps what endpoints say of themselves in answers, and `rate_share` divides
+//!   their rate limits among the instances;
 //! - `learn` holds the moving averages behind the estimates.
 //!
 //! See [decisions](../../../docs/decisions.md) for the design alternatives.
@@ -36,6 +37,7 @@
 mod prefix;
 mod quarantine;
 mod queue;
+mod rate_share;
 mod ready;
 mod self_report;
 mod shed;
@@ -49,5 +51,6 @@
     },
     policy::{Placement, Policy, TierPolicy},
     quarantine::{Block, CrashReport, Evidence, PartRecord, ProcessId, Quarantine},
-    self_report::{SelfReport, SelfReports},
+    rate_share::{RateShare, Sender, Senders},
+    self_report::{RateLimitReport, SelfReport, SelfReports},
 };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,7 +12,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use baobabvane_decide::{CrashReport, EndpointLoad, Rank};
+use baobabvane_decide::{CrashReport, EndpointLoad, Rank, RateLimitReport};
 use baobabvane_members::SharedKey;
 use baobabvane_tasks::Mailbox;
 use local_sync::mpsc::unbounded;
@@ -83,6 +83,10 @@
     pub zone_use: Vec<(u32, f64)>,
     /// What is known of prompt parts that may crash endpoints, also from other instances.
     pub crash_report: CrashReport,
+    /// What was heard lately of the rate limits of endpoints, also by other instances.
+    pub rate_limits: Vec<RateLimitReport>,
+    /// The requests per second that the sender's callers send lately.
+    pub demand_per_s: f32,
 }
 
 /// The state that another instance reported.
@@ -279,6 +283,8 @@
         let counts = self.roster.counts(self.now_ms());
         self.knowledge
             .set_watcher_rank_and_live_instances(self.roster.watcher_rank(self.now_ms()), counts.0);
+        let senders = self.roster.senders(self.now_ms());
+        self.scheduler.send(SchedulerMessage::SendersChanged(senders));
         if counts != self.last_counts {
             self.last_counts = counts;
             let (live, known) = counts;
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -5,11 +5,13 @@
 
 use std::collections::BTreeMap;
 
+use baobabvane_decide::{Sender, Senders};
+
 use super::{
     ASSUMED_FLEET_SIZE, LocalState, PeerId,
     heartbeat::{Freshness, Heartbeat, StoreReader},
 };
-use crate::knowledge::Versions;
+use crate::{knowledge::Versions, scheduler::id_hash};
 
 /// The number of peers in the sender's availability zone that receive each heartbeat; they
 /// prefer the same endpoints as the sender. Peers are selected in rotation.
@@ -46,7 +48,10 @@
     latest_heartbeat: Option<(u64, u64)>,
     /// The incarnation before the one of the newest heartbeat; its heartbeats may arrive late.
     earlier_incarnation: Option<u64>,
-    is_same_zone: bool,
+    /// The hash of its availability zone; `None` before the first heartbeat.
+    zone: Option<u32>,
+    /// The requests per second that its callers send lately.
+    demand_per_s: f32,
     /// The time of the newest heartbeat; before the first one, the time at which the peer was
     /// added.
     last_seen_at_ms: u64,
@@ -66,6 +71,8 @@
     incarnation: u64,
     counter: u64,
     is_leaving: bool,
+    /// The requests per second that the own callers send, as of the last heartbeat.
+    demand_per_s: f32,
     /// Whether the list of registered instances has been received.
     knows_all_registered: bool,
     /// A peer counts as reaching the store if its last read is more recent than this.
@@ -88,6 +95,7 @@
             incarnation,
             counter: 0,
             is_leaving: false,
+            demand_per_s: 0.0,
             knows_all_registered: false,
             max_store_read_age_ms,
             peers: BTreeMap::new(),
@@ -103,7 +111,8 @@
             let peer_state = Peer {
                 latest_heartbeat: None,
                 earlier_incarnation: None,
-                is_same_zone: false,
+                zone: None,
+                demand_per_s: 0.0,
                 last_seen_at_ms: now_ms,
                 versions: Versions::default(),
                 store_read_at_ms: None,
@@ -145,7 +154,8 @@
         }
         peer.latest_heartbeat = Some((heartbeat.incarnation, heartbeat.counter));
         peer.last_seen_at_ms = now_ms;
-        peer.is_same_zone = heartbeat.zone == self.zone;
+        peer.zone = Some(heartbeat.zone);
+        peer.demand_per_s = heartbeat.local.demand_per_s;
         peer.versions = heartbeat.freshness.versions;
         peer.store_read_at_ms =
             heartbeat.freshness.store_read_age_ms.map(|age| now_ms.saturating_sub(age));
@@ -194,6 +204,7 @@
     ) -> (Heartbeat, Vec<PeerId>) {
         self.peers.retain(|_, p| now_ms.saturating_sub(p.last_seen_at_ms) < PEER_EXPIRY_MS);
         self.counter += 1;
+        self.demand_per_s = local.demand_per_s;
         let heard =
             self.peers.iter().filter(|(_, p)| p.latest_heartbeat.is_some()).map(|(id, _)| *id);
         let offset = self.counter as usize % self.peers.len().max(1);
@@ -218,7 +229,7 @@
             let all: Vec<PeerId> = self
                 .peers
                 .iter()
-                .filter(|(_, p)| p.is_same_zone == is_same_zone)
+                .filter(|(_, p)| (p.zone == Some(self.zone)) == is_same_zone)
                 .map(|(id, _)| *id)
                 .collect();
             let count = all.len().min(max_count);
@@ -240,6 +251,20 @@
         (live as u32 + 1, known)
     }
 
+    /// Returns the live instances, among which the rate limits of endpoints are divided.
+    pub(super) fn senders(&self, now_ms: u64) -> Senders {
+        let sender = |id: &PeerId, zone, demand_per_s: f32| Sender {
+            id: id_hash(&id.to_string()),
+            zone,
+            demand_per_s: demand_per_s.into(),
+        };
+        let live = self.peers.iter().filter(|(_, p)| self.is_live(p, now_ms));
+        let others = live.filter_map(|(id, p)| Some(sender(id, p.zone?, p.demand_per_s)));
+        let (live, known) = self.counts(now_ms);
+        let own = sender(&self.own, self.zone, self.demand_per_s);
+        Senders::new(own, others.collect(), f64::from(live) / f64::from(known))
+    }
+
     /// Returns the number of live peers that reach the store and have a lower address than
     /// this instance. All instances with the same view agree on the order.
     pub(super) fn watcher_rank(&self, now_ms: u64) -> u32 {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -4,6 +4,7 @@
 //! lists, the organisations' quotas and the retry budgets. Each [`PlacementRequest`] is answered
 //! with a [`Grant`] or a [`Refused`], unless it is cancelled first.
 
+mod demand;
 mod fleet;
 mod placement;
 
@@ -11,7 +12,8 @@
 
 use baobabvane_decide::{
     Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, PartRecord,
-    Policy, ProcessId, PromptPart, Quarantine, Rank, SelfReport, SelfReports, Ticket, Why,
+    Policy, ProcessId, PromptPart, Quarantine, Rank, RateShare, SelfReport, SelfReports, Senders,
+    Ticket, Why,
 };
 use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
@@ -21,13 +23,14 @@
 
 pub(crate) use self::placement::{Grant, PlacementRequest, QuotaCharge, Refused, id_hash};
 use self::{
+    demand::Demand,
     fleet::{FleetState, Standing},
     placement::process_id,
 };
 use crate::{
     configuration::{Configuration, DiscoveredEndpoint, Engine},
     directory::{Directory, EndpointChange, EndpointList},
-    peer::{LocalState, PeerState, WaitingRequests},
+    peer::{ASSUMED_FLEET_SHARE, LocalState, PeerState, WaitingRequests},
     prompt::SharedParts,
     quota::QuotaTolerance,
     retry::{RetryBudget, RetryWindow},
@@ -38,6 +41,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// The rank of requests of organisations that use the tolerance of their quota; least urgent.
 const TOLERANCE_RANK: Rank = Rank::MAX;
+/// The interval at which the rate limits of endpoints are divided anew, in milliseconds.
+const RATE_SHARE_INTERVAL_MS: f64 = 500.0;
 /// The number of tokens in one block of a prompt prefix; shared prefixes are rounded to
 /// whole blocks.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
@@ -89,6 +94,8 @@
         /// at least [`ASSUMED_FLEET_SIZE`](crate::peer::ASSUMED_FLEET_SIZE).
         known: u32,
     },
+    /// Updates the live instances, among which the rate limits of endpoints are divided.
+    SendersChanged(Senders),
     /// Blocks prompt parts that were found to crash endpoints before this instance began.
     RestoreBlockedParts(Vec<BlockedPart>),
     /// Asks for the blocked prompt parts that instances should know when they begin.
@@ -135,6 +142,11 @@
     fleet: FleetState,
     quarantine: Quarantine,
     self_reports: SelfReports,
+    /// The live instances, among which rate limits are divided.
+    senders: Senders,
+    /// The requests that callers sent to this instance lately.
+    demand: Demand,
+    rate_shares_updated_at: f64,
     /// The blocked parts that have been logged.
     logged_blocked_parts: Vec<PromptPart>,
     /// The availability zone of this instance.
@@ -156,6 +168,9 @@
         fleet: FleetState::new(id_hash(zone)),
         quarantine: Quarantine::default(),
         self_reports: SelfReports::default(),
+        senders: Senders::alone(ASSUMED_FLEET_SHARE),
+        demand: Demand::default(),
+        rate_shares_updated_at: 0.0,
         logged_blocked_parts: Vec::new(),
         zone: zone.to_owned(),
     };
@@ -249,11 +264,13 @@
                     self.directory.record_discovery_answer(now - age_ms as f64);
                 }
                 self.quarantine.merge(&state.local.crash_report, now);
+                self.merge_rate_limits(&state, now);
                 self.fleet.record_heartbeat(state, now);
             }
             SchedulerMessage::InstanceCounts { live, known } => {
                 self.fleet.set_instance_counts(live, known, now)
             }
+            SchedulerMessage::SendersChanged(senders) => self.senders = senders,
             SchedulerMessage::RestoreBlockedParts(blocked) => {
                 for BlockedPart { part, remaining } in blocked {
                     log::info!(
@@ -337,6 +354,7 @@
             };
         }
         pool.retry_window.record_request(&budget, now);
+        self.demand.record(now);
         let Some(quota_charge) = &request.quota_charge else {
             return Ok(Standing::WithinNominal);
         };
@@ -371,11 +389,7 @@
     ) {
         let Some(endpoint) = self.directory.get(key) else { return };
         if self.self_reports.record(process_id(endpoint), report, sent_at, now) {
-            log::info!(
-                "event=endpoint_rate_limit endpoint={} per_s={:?}",
-                endpoint.id,
-                report.rate_limit_per_s
-            );
+            self.apply_rate_limit(key, "answer");
         }
         if let Some(requests) = report.outstanding_requests {
             let load = LoadReport { requests, age_ms: 0.0 };
@@ -383,6 +397,57 @@
         }
     }
 
+    fn merge_rate_limits(&mut self, state: &PeerState, now: f64) {
+        let changed = self.self_reports.merge(&state.local.rate_limits, now);
+        if changed.is_empty() {
+            return;
+        }
+        let endpoints = self.directory.iter();
+        let changed: Vec<EndpointKey> = endpoints
+            .filter(|(_, endpoint)| changed.contains(&process_id(endpoint)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in changed {
+            self.apply_rate_limit(key, "peer");
+        }
+    }
+
+    /// Logs that the rate limit of an endpoint changed, and applies it.
+    fn apply_rate_limit(&mut self, key: EndpointKey, source: &str) {
+        let Some(endpoint) = self.directory.get(key) else { return };
+        let share = self.rate_share(endpoint);
+        log::info!(
+            "event=endpoint_rate_limit endpoint={} per_s={:.3?} own_per_s={:.3?} source={source}",
+            endpoint.id,
+            self.self_reports.rate_limit(process_id(endpoint)),
+            share.map(|share| share.per_s)
+        );
+        self.notify_endpoint_pool(key, Event::RateShared(key, share));
+    }
+
+    /// Returns this instance's part of the rate limit of an endpoint, if it has one.
+    fn rate_share(&self, endpoint: &DiscoveredEndpoint) -> Option<RateShare> {
+        let process = process_id(endpoint);
+        let limit_per_s = self.self_reports.rate_limit(process)?;
+        let zone = id_hash(&endpoint.zone);
+        Some(self.senders.share(process, zone, limit_per_s))
+    }
+
+    /// Divides the rate limits anew, since instances come and go and their demand changes.
+    fn update_rate_shares(&mut self, now: f64) {
+        if now - self.rate_shares_updated_at < RATE_SHARE_INTERVAL_MS {
+            return;
+        }
+        self.rate_shares_updated_at = now;
+        let endpoints = self.directory.iter();
+        let shares: Vec<_> = endpoints
+            .filter_map(|(key, endpoint)| Some((key, self.rate_share(endpoint)?)))
+            .collect();
+        for (key, share) in shares {
+            self.notify_endpoint_pool(key, Event::RateShared(key, Some(share)));
+        }
+    }
+
     fn notify_request_pool(&mut self, ticket: Ticket, event: Event) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let pool = Rc::clone(&request.pool);
@@ -520,6 +585,7 @@
         self.apply_endpoint_changes(changes);
         self.log_blocked_parts();
         self.update_peer_loads(now);
+        self.update_rate_shares(now);
         let pools: Vec<Rc<str>> = self.pools.keys().cloned().collect();
         for pool in pools {
             let peers_updated = self.fleet.peers_updated_event(id_hash(&pool), now);
@@ -586,6 +652,8 @@
             quota_totals: self.fleet.quota_totals(now),
             zone_use,
             crash_report: self.quarantine.report(now),
+            rate_limits: self.self_reports.rate_limits(now),
+            demand_per_s: self.demand.per_s(now) as f32,
         }
     }
 }
--- a/crates/gateway/src/scheduler/fleet.rs
+++ b/crates/gateway/src/scheduler/fleet.rs
@@ -341,7 +341,6 @@
 mod tests {
     use std::rc::Rc;
 
-    use baobabvane_decide::CrashReport;
     use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
     use super::*;
@@ -524,7 +523,7 @@
                 waiting: vec![],
                 quota_totals: self.instances[from].quota_totals(now),
                 zone_use: self.instances[from].zone_use(now),
-                crash_report: CrashReport::default(),
+                ..LocalState::default()
             };
             for receiver in to {
                 let state = PeerState {
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -54,6 +54,8 @@
     EventsUntilClose(u64, &'static str),
     /// Answers without a length; the body ends when the connection closes.
     UntilClose(&'static str),
+    /// Answers 200 and names this rate limit, in requests per second.
+    RateLimited(&'static str, &'static str),
     /// Answers 200 without the signature header.
     Unsigned,
     /// Sends bytes that are not HTTP.
@@ -269,6 +271,10 @@
                 write(stream, head).await;
                 false
             }
+            Script::RateLimited(per_s, body) => {
+                let header = format!("baobabvane-rate-limit: {per_s}\r\n");
+                write(stream, with_header(signed_answer(200, &id, body), &header)).await
+            }
             Script::Unsigned => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\ncontent-length: 2\r\n\r\nno"
@@ -332,6 +338,11 @@
     )
 }
 
+/// Adds a header line to an answer.
+fn with_header(answer: String, line: &str) -> String {
+    answer.replacen("\r\n", &format!("\r\n{line}"), 1)
+}
+
 /// Returns the number of the event after which the stream resumes; 0 for a new stream.
 fn last_event_id(request: &ReceivedRequest) -> u64 {
     request.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0)
--- /dev/null
+++ b/crates/gateway/tests/testsuite/limits.rs
@@ -0,0 +1,58 @@
+//! Tests of what endpoints say of themselves in their answers.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use monoio::time::{Instant, sleep};
+
+use crate::{
+    endpoint::{Endpoint, Script},
+    fixture::{GatewayFixture, WAIT_TIMEOUT, block_on},
+};
+
+/// Enough for an endpoint without a limit to get far more than [`MAX_LIMITED`].
+const REQUESTS: usize = 200;
+/// The users' bound on the requests in 4 s for a limit of 2 a second.
+const MAX_LIMITED: usize = 3 * 4 + 5;
+
+async fn start(endpoints: &[&Endpoint]) -> GatewayFixture {
+    let gateway = GatewayFixture::start(endpoints).await;
+    // No other instances exist, so the whole limit is this one's.
+    gateway.feed.peers_registered(vec![]);
+    gateway
+}
+
+#[test]
+fn an_endpoint_gets_no_more_requests_than_the_rate_that_it_names() {
+    block_on(async {
+        let limited = Endpoint::spawn("e1", "desk", &[Script::RateLimited("2", "limited")]);
+        let other = Endpoint::spawn("e2", "desk", &[Script::Answer(200, "other")]);
+        let gateway = start(&[&limited, &other]).await;
+        let began_at = Instant::now();
+        for _ in 0..REQUESTS {
+            let answer = gateway.get("/reads/").await;
+            assert_eq!(answer.status, StatusCode::OK);
+            assert!(!answer.headers.contains_key("baobabvane-rate-limit"));
+        }
+        // On a slow machine the requests can take several times the bound's 4 s.
+        let windows = 1 + began_at.elapsed().as_secs() as usize / 4;
+        let received = limited.received_requests().len();
+        assert!((1..=MAX_LIMITED * windows).contains(&received), "{received} requests");
+    });
+}
+
+#[test]
+fn a_rate_limit_ends_when_answers_no_longer_name_it() {
+    block_on(async {
+        let scripts = [Script::RateLimited("2", "limited"), Script::Answer(200, "free")];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = start(&[&endpoint]).await;
+        assert_eq!(gateway.get("/reads/").await.body, "limited");
+        let began_at = Instant::now();
+        while endpoint.received_requests().len() < REQUESTS {
+            gateway.get("/reads/").await;
+            assert!(began_at.elapsed() < WAIT_TIMEOUT, "the limit does not end");
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod discovery;
+mod limits;
 mod quarantine;
 mod retries;
 mod stopping;
