platform: what the store says is ordered by its era before offsets

What callers saw: after a restore of the store, a gateway answered 401 to a key that the newest configuration has; endpoints that had left stayed in use at instances that do not read the store; a fleet that an instance joined later split in two. Cause: an offset was taken to grow for ever, by the readers, by Knowledge and among peers; what only the store kept was gone. Evidence: 654 lines records_deleted from 33 while the topic ended at 30, endpoint changes at two of six instances and only when it had 33 records again, and three tests of whole processes that fail before. Change: LogPosition, an era and an offset; another era makes a reader read the newest records again, with a delay from the second time on; entries of endpoints are ordered by start time and revision; instances join the fleet's topic again. Why it works: the era grows with each restore, and the store states it in each answer that it gives from its contents.

--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -140,7 +140,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn endpoint_changes_after_a_restore_of_the_store_take_effect() {
     let fleet = spawn_fleet(3);
     block_on(async {
@@ -162,7 +161,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_configuration_at_an_offset_that_is_given_out_again_is_in_force() {
     let mut fleet = spawn_fleet(1);
     block_on(async {
@@ -181,7 +179,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn the_fleet_keeps_its_secret_when_the_store_forgets_it() {
     let mut fleet = spawn_fleet(2);
     block_on(async {
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -183,4 +183,6 @@
     /// The start time of the endpoint's process, in milliseconds since the Unix epoch; 0 if
     /// unknown. A different start time under the same id means another process.
     pub started_ms: u64,
+    /// Increases with each entry that the process writes; `None` if unknown.
+    pub revision: Option<u64>,
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,7 +3,11 @@
 //! While the store of discovery is unreachable, entries of endpoints that still run can
 //! expire. A removal that is received during such an outage is therefore delayed until its
 //! end, and a removal shortly after it until [`REMOVAL_DELAY_MS`] after its end. The endpoint
-//! is removed only if its entry has not returned by the end of the delay.
+//! is removed only if its entry has not returned by the end of the delay. The same holds for a
+//! store that has come back from an older copy, which lacks the newest entries. Older entries in
+//! that copy change nothing, as an endpoint's own start time and revision order its entries.
+
+use std::collections::VecDeque;
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -21,6 +25,9 @@
 /// seconds after its entry was removed.
 const REMOVAL_DELAY_MS: f64 = 1_500.0;
 
+/// The number of removed endpoints that are remembered.
+const MAX_REMEMBERED_REMOVALS: usize = 1_024;
+
 /// All endpoints that an instance knows, as it sends them to its peers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EndpointList {
@@ -46,6 +53,8 @@
 pub(crate) struct Directory {
     endpoints: SlotMap<EndpointKey, DiscoveredEndpoint>,
     by_id: FxHashMap<String, EndpointKey>,
+    /// Endpoints that were removed, the latest last; an older copy of the store may list them.
+    removed: VecDeque<DiscoveredEndpoint>,
     /// The time at which each delayed removal takes effect, by endpoint id.
     pending_removals: FxHashMap<String, f64>,
     /// Removals that are received after an outage and before this time are delayed until then.
@@ -92,13 +101,30 @@
         );
     }
 
-    /// Adds an endpoint or updates its entry, and cancels its pending removal.
+    /// Records that discovery has come back from an older copy, which lacks entries that endpoints
+    /// will write again.
+    pub(crate) fn record_restore(&mut self, now_ms: f64) {
+        self.removals_delayed_until_ms = now_ms + REMOVAL_DELAY_MS;
+    }
+
+    /// Adds an endpoint or updates its entry, and cancels its pending removal. An entry that is
+    /// older than what is known of the endpoint is ignored.
     pub(crate) fn upsert(&mut self, endpoint: DiscoveredEndpoint) -> Vec<EndpointChange> {
-        self.pending_removals.remove(&endpoint.id);
         let mut changes = Vec::new();
+        if self.is_outdated(&endpoint) {
+            log::info!(
+                "event=entry_outdated endpoint={} revision={:?}",
+                endpoint.id,
+                endpoint.revision
+            );
+            return changes;
+        }
+        self.pending_removals.remove(&endpoint.id);
         if let Some(key) = self.key_of(&endpoint.id) {
-            let known = &self.endpoints[key];
-            if *known == endpoint {
+            let known = &mut self.endpoints[key];
+            let revision = endpoint.revision;
+            if *known == (DiscoveredEndpoint { revision: known.revision, ..endpoint.clone() }) {
+                known.revision = revision;
                 return changes;
             }
             if is_same_process(known, &endpoint) {
@@ -136,6 +162,22 @@
         self.remove(key)
     }
 
+    /// Returns whether the entry is older than the known one, or than the one of the endpoint's
+    /// process that was removed.
+    fn is_outdated(&self, entry: &DiscoveredEndpoint) -> bool {
+        if let Some(known) = self.key_of(&entry.id).map(|key| &self.endpoints[key]) {
+            let is_same_process = entry.started_ms == known.started_ms;
+            return entry.started_ms < known.started_ms
+                || is_same_process && entry.revision < known.revision;
+        }
+        let removed = self.removed.iter().find(|removed| removed.id == entry.id);
+        removed.is_some_and(|removed| {
+            let is_same_process = entry.started_ms == removed.started_ms;
+            let has_no_news = entry.revision.is_some() && entry.revision <= removed.revision;
+            entry.started_ms < removed.started_ms || is_same_process && has_no_news
+        })
+    }
+
     /// Replaces the list of endpoints and removes those it omits; removals that the list marks
     /// as pending stay pending.
     pub(crate) fn replace_all(&mut self, list: EndpointList, now_ms: f64) -> Vec<EndpointChange> {
@@ -196,6 +238,11 @@
         let endpoint = self.endpoints.remove(key)?;
         self.pending_removals.remove(&endpoint.id);
         self.by_id.remove(&endpoint.id);
+        self.removed.retain(|removed| removed.id != endpoint.id);
+        if self.removed.len() >= MAX_REMEMBERED_REMOVALS {
+            self.removed.pop_front();
+        }
+        self.removed.push_back(endpoint.clone());
         Some(EndpointChange::Gone(key, endpoint))
     }
 }
@@ -222,6 +269,7 @@
             slots: 6,
             is_draining: false,
             started_ms: 1,
+            revision: None,
         }
     }
 
@@ -300,4 +348,43 @@
         assert_eq!(behind.apply_due_removals(2_400.0), []);
         assert_eq!(behind.apply_due_removals(2_500.0).len(), 1);
     }
+
+    #[test]
+    fn entries_that_a_restored_store_lacks_may_return() {
+        let mut directory = Directory::default();
+        directory.upsert(endpoint("a"));
+        directory.upsert(endpoint("b"));
+        directory.record_restore(1_000.0);
+        let older = EndpointList { endpoints: vec![], pending_removals: vec![] };
+        assert_eq!(directory.replace_all(older, 1_001.0), []);
+        assert_eq!(directory.upsert(endpoint("a")), []);
+        let changes = directory.apply_due_removals(3_000.0);
+        assert!(matches!(&changes[..], [EndpointChange::Gone(_, e)] if e.id == "b"), "{changes:?}");
+    }
+
+    #[test]
+    fn older_entries_of_a_restored_store_do_not_undo_newer_ones() {
+        let entry = |revision, is_draining| DiscoveredEndpoint {
+            revision: Some(revision),
+            is_draining,
+            ..endpoint("a")
+        };
+        let mut directory = Directory::default();
+        directory.upsert(entry(5, false));
+        let changes = directory.upsert(entry(8, true));
+        assert!(matches!(changes[..], [EndpointChange::Leaving(_)]));
+        assert_eq!(directory.upsert(entry(5, false)), []);
+        assert!(matches!(directory.remove_or_delay("a", 10.0), Some(EndpointChange::Gone(..))));
+        assert_eq!(directory.upsert(entry(5, false)), []);
+        assert_eq!(directory.upsert(entry(8, true)), []);
+        // An entry that had only expired is written again with a higher revision.
+        assert!(matches!(directory.upsert(entry(9, false))[..], [EndpointChange::Joined(_)]));
+        // So is one of a process that started later.
+        let restarted = DiscoveredEndpoint { started_ms: 2, ..entry(1, false) };
+        assert!(matches!(
+            directory.upsert(restarted)[..],
+            [EndpointChange::Gone(..), EndpointChange::Joined(_)]
+        ));
+        assert_eq!(directory.upsert(entry(10, false)), []);
+    }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,6 +15,7 @@
     directory::EndpointList,
     knowledge::Knowledge,
     peer::PeersMessage,
+    position::LogPosition,
     quota::QuotaTolerance,
     retry::RetryBudget,
     scheduler::{BlockedPart, SchedulerMessage},
@@ -39,6 +40,8 @@
 const MAX_CONFIRMATION_AGE_IN_BOUNDS: u32 = 2;
 /// How often a watcher checks for prompt parts that it has to keep in the store.
 const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How often an instance checks whether the store has come back from an older copy.
+const RESTORE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The fleet size up to which the retry delay equals that of a single instance. In larger
 /// fleets the delay grows in proportion, so that the rate of calls to the store does not.
 const RETRY_DELAY_BASE_FLEET_SIZE: f64 = 8.0;
@@ -83,25 +86,37 @@
         self.scheduler.send(SchedulerMessage::RemoveEndpoint(id.to_owned()));
     }
 
-    /// Replaces the endpoint list; `version` is the offset up to which the discovery topic was
+    /// Replaces the endpoint list; `version` is the position up to which the discovery topic was
     /// read.
-    pub fn endpoints_listed(&self, endpoints: Vec<DiscoveredEndpoint>, version: u64) {
+    pub fn endpoints_listed(&self, endpoints: Vec<DiscoveredEndpoint>, version: LogPosition) {
         self.knowledge
             .replace_endpoints(EndpointList { endpoints, pending_removals: Vec::new() }, version);
     }
 
-    /// Records the offset up to which the discovery topic was read; a lower one than before is
+    /// Records the position up to which the discovery topic was read; an earlier one than before is
     /// ignored.
-    pub fn endpoints_read_up_to(&self, version: u64) {
+    pub fn endpoints_read_up_to(&self, version: LogPosition) {
         self.knowledge.advance_endpoints_version(version);
     }
 
-    /// Returns the offset up to which the discovery topic was read, by this instance or by the
+    /// Returns the position up to which the discovery topic was read, by this instance or by the
     /// peer from which it fetched the list.
-    pub fn endpoints_version(&self) -> u64 {
+    pub fn endpoints_version(&self) -> LogPosition {
         self.knowledge.endpoints_version.get()
     }
 
+    /// Waits until the store is known to have begun an era after `era`; what the instances had
+    /// written since its copy was made is then gone.
+    ///
+    /// A random time passes before it returns, so that a large fleet does not call the store at
+    /// once.
+    pub async fn until_store_restored_after(&self, era: u64) {
+        while self.endpoints_version().era <= era {
+            sleep(RESTORE_CHECK_INTERVAL).await;
+        }
+        sleep(self.draw_retry_delay(RESTORE_CHECK_INTERVAL)).await;
+    }
+
     /// Records that discovery is unreachable; the known endpoints stay in use.
     ///
     /// The call has no effect if the configuration was confirmed within the endpoint expiry: some
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,7 +1,8 @@
 //! The state that an instance received from the store or from peers, shared by its tasks.
 //!
 //! It holds the configuration and how current it is, the version of the endpoint list, and
-//! the fleet's key. Versions only increase, so an older configuration never replaces a newer one.
+//! the fleet's key. Versions only increase, so an older configuration never replaces a newer one,
+//! also after the store has come back from an older copy ([`LogPosition`]).
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,8 +16,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    configuration::Configuration, directory::EndpointList, routing::RouteTable,
-    scheduler::SchedulerMessage,
+    configuration::Configuration, directory::EndpointList, position::LogPosition,
+    routing::RouteTable, scheduler::SchedulerMessage,
 };
 
 /// The versions of an instance's configuration and endpoint list; larger is newer.
@@ -24,8 +25,8 @@
 pub(crate) struct Versions {
     /// The version of the configuration; 0 before the first one.
     pub(crate) configuration: u64,
-    /// The offset up to which the discovery topic of the store was read.
-    pub(crate) endpoints: u64,
+    /// The position up to which the discovery topic of the store was read.
+    pub(crate) endpoints: LogPosition,
 }
 
 impl Versions {
@@ -42,7 +43,7 @@
     /// When the configuration was last confirmed to be the newest, by the store or by a peer.
     pub(crate) configuration_confirmed_at: Cell<Option<Instant>>,
     pub(crate) store_reads: StoreReads,
-    pub(crate) endpoints_version: Cell<u64>,
+    pub(crate) endpoints_version: Cell<LogPosition>,
     has_endpoints: Cell<bool>,
     /// Endpoint entries may expire in discovery when the store is unreachable for this long,
     /// because endpoints cannot renew them.
@@ -80,7 +81,7 @@
             route_table: RefCell::default(),
             configuration_confirmed_at: Cell::new(None),
             store_reads: StoreReads::default(),
-            endpoints_version: Cell::new(0),
+            endpoints_version: Cell::default(),
             endpoint_expiry,
             has_endpoints: Cell::new(false),
             key: RefCell::new(None),
@@ -181,14 +182,23 @@
         self.scheduler.send(SchedulerMessage::Configure(configuration));
     }
 
-    pub(crate) fn replace_endpoints(&self, endpoints: EndpointList, version: u64) {
-        self.has_endpoints.set(true);
+    pub(crate) fn replace_endpoints(&self, endpoints: EndpointList, version: LogPosition) {
         self.advance_endpoints_version(version);
+        self.has_endpoints.set(true);
         self.scheduler.send(SchedulerMessage::ReplaceEndpoints(endpoints));
     }
 
-    pub(crate) fn advance_endpoints_version(&self, version: u64) {
-        self.endpoints_version.set(self.endpoints_version.get().max(version));
+    /// Records up to where the discovery topic was read; an earlier position is ignored.
+    pub(crate) fn advance_endpoints_version(&self, version: LogPosition) {
+        let before = self.endpoints_version.get();
+        if version <= before {
+            return;
+        }
+        self.endpoints_version.set(version);
+        if version.era > before.era && self.has_endpoints.get() {
+            log::warn!("event=discovery_restored position={version} before={before}");
+            self.scheduler.send(SchedulerMessage::DiscoveryRestored);
+        }
     }
 
     /// Applies the parts of a peer's snapshot that are newer.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod knowledge;
 mod links;
 mod peer;
+mod position;
 mod prompt;
 mod quota;
 mod ready;
@@ -40,6 +41,7 @@
 pub use daemon::{Bound, Gateway, GatewaySettings, Serving};
 pub use feed::Feed;
 pub use headers::HeaderNames;
+pub use position::LogPosition;
 pub use quota::QuotaTolerance;
 pub use ready::RenderMetrics;
 pub use retry::RetryBudget;
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -67,6 +67,8 @@
     DiscoveryUnreachable,
     /// Reports that service discovery answered.
     DiscoveryReachable,
+    /// Reports that service discovery has come back from an older copy.
+    DiscoveryRestored,
     /// Asks for an endpoint that the request can be sent to.
     Place(Box<PlacementRequest>, oneshot::Sender<Result<Grant, Refused>>),
     /// Cancels the placement of a request that no longer waits for its grant, because its
@@ -224,6 +226,7 @@
             }
             SchedulerMessage::DiscoveryUnreachable => self.directory.set_discovery_unreachable(now),
             SchedulerMessage::DiscoveryReachable => self.directory.record_discovery_answer(now),
+            SchedulerMessage::DiscoveryRestored => self.directory.record_restore(now),
             SchedulerMessage::Place(request, reply) => self.place(*request, reply),
             SchedulerMessage::CancelPlacement(ticket) => self.cancel_placement(ticket),
             SchedulerMessage::AnswerStarted(ticket) => {
--- a/crates/gateway/tests/testsuite/discovery.rs
+++ b/crates/gateway/tests/testsuite/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use baobabvane_gateway::{Configuration, Semantics};
+use baobabvane_gateway::{Configuration, LogPosition, Semantics};
 use http::StatusCode;
 use monoio::time::{Instant, sleep};
 
@@ -53,7 +53,7 @@
         reader.feed.configuration_confirmed();
         reader.feed.discovery_answered();
         reader.feed.endpoint_removed("e1");
-        reader.feed.endpoints_read_up_to(2);
+        reader.feed.endpoints_read_up_to(LogPosition { era: 0, offset: 2 });
 
         wait_until_only_used("stays", &reader).await;
         wait_until_only_used("stays", &follower).await;
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -327,6 +327,7 @@
         slots: 4,
         is_draining: false,
         started_ms: 1,
+        revision: None,
     }
 }
 
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -3,8 +3,8 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_gateway::{
-    Configuration, DiscoveredEndpoint, Feed, Gateway, GatewaySettings, HeaderNames, Organisation,
-    RetryBudget, Route, Semantics, Target,
+    Configuration, DiscoveredEndpoint, Feed, Gateway, GatewaySettings, HeaderNames, LogPosition,
+    Organisation, RetryBudget, Route, Semantics, Target,
 };
 use baobabvane_tasks::StopHandle;
 use baobabvane_wire::{ClientConn, Connector, WireError};
@@ -141,7 +141,7 @@
 
     pub(crate) fn list_endpoints(&self, endpoints: &[&Endpoint]) {
         let list: Vec<DiscoveredEndpoint> = endpoints.iter().map(|e| e.entry.clone()).collect();
-        self.feed.endpoints_listed(list, 1);
+        self.feed.endpoints_listed(list, LogPosition { era: 0, offset: 1 });
     }
 
     pub(crate) async fn connect_caller(&self) -> Caller {
