--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -203,3 +203,46 @@
     });
     fleet.remove_folder();
 }
+
+#[test]
+fn odd_entries_among_the_endpoints_change_nothing_else() {
+    let fleet = spawn_fleet(1);
+    block_on(async {
+        wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
+        let topic = "keyed.servers";
+        let deep = "[".repeat(100_000);
+        let entry = |slots: &str, port: &str, more: &str| {
+            format!(
+                r#"{{"service":"desk","address":"127.0.0.1:{port}","availabilityZone":"tanta",
+                "slotCount":{slots},"lifecycleState":"ready","born":1{more}}}"#
+            )
+        };
+        let odd = [
+            deep.clone(),
+            entry("16", "9", &format!(r#","x":{deep}"#)),
+            entry(&deep, "9", ""),
+            entry("1e999", "9", ""),
+            entry("4294967295", "9", ""),
+            entry("4294967294", "9", ""),
+            entry("18446744073709551616", "9", ""),
+            entry("16", "9", r#","sequenceNumber":1e999"#),
+            entry("16", "65536", ""),
+            entry("16", "0", ""),
+            "\u{0}\u{1}".to_owned(),
+        ];
+        for (number, value) in odd.iter().enumerate() {
+            fleet.store.append(topic, format!("odd-{number}").as_bytes(), value.as_bytes());
+        }
+        fleet.store.append(topic, b"", b"");
+        fleet.store.append(topic, b"\xff\xfe", b"{}");
+        // A record without even the length of its key, and one whose key is longer than it.
+        fleet.store.append_raw(topic, b"");
+        fleet.store.append_raw(topic, b"\x09a");
+        fleet.remove_endpoint(0);
+        wait_for_line_on_all(&fleet, "event=endpoint_gone endpoint=e-0").await;
+        assert!(!fleet.gateways[0].log().contains("endpoint_joined endpoint=odd"));
+        wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
+        assert_eq!(fleet.gateways[0].log().matches("event=started").count(), 1);
+    });
+    fleet.remove_folder();
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -42,7 +42,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Topic {
-    records: Vec<(String, Bytes)>,
+    /// The records as they are read: the length of the key, the key and the value.
+    records: Vec<Bytes>,
     /// The oldest offset that can be read; earlier records count as deleted.
     start: usize,
 }
@@ -91,13 +92,25 @@
 
     /// Appends a record with a JSON value, as an operator or an endpoint does.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
-        let value = Bytes::from(value.to_string());
-        self.append(topic, key, value);
+        self.append(topic, key.as_bytes(), value.to_string().as_bytes());
     }
 
     /// Appends a record with an empty value, which removes the key.
     pub fn remove(&self, topic: &str, key: &str) {
-        self.append(topic, key, Bytes::new());
+        self.append(topic, key.as_bytes(), b"");
+    }
+
+    /// Appends a record with any key of at most 255 bytes and any value.
+    pub fn append(&self, topic: &str, key: &[u8], value: &[u8]) {
+        let len = u8::try_from(key.len()).expect("the key is short");
+        self.append_raw(topic, &[&[len], key, value].concat());
+    }
+
+    /// Appends a record that may be malformed.
+    pub fn append_raw(&self, topic: &str, record: &[u8]) {
+        let mut state = self.lock();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.records.push(Bytes::copy_from_slice(record));
     }
 
     /// Makes all current records unreadable by offset; the newest of each key stays readable.
@@ -124,12 +137,6 @@
         self.lock().calls
     }
 
-    fn append(&self, topic: &str, key: &str, value: Bytes) {
-        let mut state = self.lock();
-        let topic = state.topics.entry(topic.to_owned()).or_default();
-        topic.records.push((key.to_owned(), value));
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, StoreState> {
         self.state.lock().expect("the lock is not poisoned")
     }
@@ -137,9 +144,11 @@
 
 impl Topic {
     fn newest(&self) -> Value {
-        let mut newest: BTreeMap<&str, (&Bytes, usize)> = BTreeMap::new();
-        for (offset, (key, value)) in self.records.iter().enumerate() {
-            newest.insert(key, (value, offset));
+        let mut newest: BTreeMap<String, (&[u8], usize)> = BTreeMap::new();
+        for (offset, record) in self.records.iter().enumerate() {
+            if let Some((key, value)) = split_record(record) {
+                newest.insert(key, (value, offset));
+            }
         }
         let kept = newest.into_iter().filter(|(_, (value, _))| !value.is_empty());
         let entries: Vec<Value> = kept
@@ -153,12 +162,9 @@
     fn read(&self, from: usize) -> Vec<u8> {
         let mut body = (self.records.len() as u64).to_be_bytes().to_vec();
         body.extend_from_slice(&(self.start as u64).to_be_bytes());
-        for (key, value) in self.records.iter().skip(from) {
-            let len = 1 + key.len() + value.len();
-            body.extend_from_slice(&(len as u32).to_be_bytes());
-            body.push(key.len() as u8);
-            body.extend_from_slice(key.as_bytes());
-            body.extend_from_slice(value);
+        for record in self.records.iter().skip(from) {
+            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+            body.extend_from_slice(record);
         }
         body
     }
@@ -170,10 +176,8 @@
         while !body.is_empty() {
             let (len, rest) = body.split_first_chunk::<4>()?;
             let (record, rest) = rest.split_at_checked(u32::from_be_bytes(*len) as usize)?;
-            let (key_len, content) = record.split_first()?;
-            let (key, value) = content.split_at_checked(usize::from(*key_len))?;
-            let key = String::from_utf8_lossy(key).into_owned();
-            records.push((key, Bytes::copy_from_slice(value)));
+            split_record(record)?;
+            records.push(Bytes::copy_from_slice(record));
             body = rest;
         }
         self.records.extend(records);
@@ -181,6 +185,13 @@
     }
 }
 
+/// Returns the key and the value of a record, unless it is malformed.
+fn split_record(record: &[u8]) -> Option<(String, &[u8])> {
+    let (key_len, content) = record.split_first()?;
+    let (key, value) = content.split_at_checked(usize::from(*key_len))?;
+    Some((String::from_utf8_lossy(key).into_owned(), value))
+}
+
 struct StoreHandler {
     state: Arc<Mutex<StoreState>>,
 }
