gateway: a refusal that an endpoint writes once more is not taken for a later request's

An answer without an id counted as the request's own, and a request that was refused went to the same endpoint again on the same connection, where the earlier refusal has its id. Change: on a connection that has carried another request an answer without an id is an error after which the request may have run; a request goes to an endpoint for the second time on a new connection. The fake endpoint's refusal repeats the request's id, as endpoints do.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -320,9 +320,14 @@
         mut in_flight: InFlightRequest,
         last_event_id: Option<u64>,
     ) -> Result<EndpointResponse, AttemptFailure> {
-        let Ok(mut upstream) =
-            self.cx.endpoint_connections.acquire(grant.endpoint, grant.address).await
-        else {
+        let connections = &self.cx.endpoint_connections;
+        // The endpoint may write its earlier answer to this request once more, with the same id.
+        let has_answered_before = self.failed_endpoints.borrow().contains(&grant.endpoint);
+        let connection = match has_answered_before {
+            true => connections.open(grant.address).await,
+            false => connections.acquire(grant.endpoint, grant.address).await,
+        };
+        let Ok(mut upstream) = connection else {
             in_flight.end(Ending::Failed);
             return Err(AttemptFailure::NotSent);
         };
@@ -433,6 +438,9 @@
     }
 
     /// Reads the head of the response to this request; skips responses with another request id.
+    ///
+    /// A response without an id is taken for this request's only if the connection has carried no
+    /// other; otherwise it may be an earlier one that is written again.
     async fn read_head(&self, upstream: &mut ClientConn) -> Result<http::Response<()>, WireError> {
         for _ in 0..MAX_SKIPPED_RESPONSES {
             let head = upstream.read_head(&self.request.method).await?;
@@ -441,6 +449,10 @@
                     self.log("answer_skipped", format_args!("answers={id:?}"));
                     self.read_body(upstream).await?;
                 }
+                None if upstream.was_kept() => {
+                    let status = head.status().as_u16();
+                    return Err(WireError::Malformed(format!("answer {status} without an id")));
+                }
                 _ => return Ok(head),
             }
         }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -42,9 +42,14 @@
         endpoint: EndpointKey,
         address: SocketAddr,
     ) -> Result<ClientConn, WireError> {
-        if let Some(conn) = self.take_idle(endpoint) {
-            return Ok(conn);
+        match self.take_idle(endpoint) {
+            Some(conn) => Ok(conn),
+            None => self.open(address).await,
         }
+    }
+
+    /// Opens a connection; after an error, nothing was sent.
+    pub(crate) async fn open(&self, address: SocketAddr) -> Result<ClientConn, WireError> {
         let mut conn = Connector { address, timeout: CONNECT_TIMEOUT }.connect().await?;
         conn.accept_close_delimited();
         Ok(conn)
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -18,6 +18,11 @@
     DelayedAnswer(Duration, &'static str),
     /// Answers 503 with the header that states that the request was not executed.
     NotExecuted,
+    /// Answers like `NotExecuted`; writes the same answer once more, and then this one, when the next
+    /// request arrives on the connection.
+    NotExecutedAndAgain(&'static str),
+    /// Answers 200 after another answer, like `NotExecuted` but without the request's id.
+    AnonymousRefusalBefore(&'static str),
     /// Answers 421, as an endpoint does that took over the address of the expected one.
     Misdirected,
     /// Loses the answer: closes the connection after it received the request.
@@ -174,10 +179,20 @@
                 sleep(delay).await;
                 write(stream, signed_answer(200, &id, body)).await
             }
-            Script::NotExecuted => {
-                let head =
-                    "HTTP/1.1 503 x\r\nbaobabvane-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
-                write(stream, head.to_owned()).await
+            Script::NotExecuted => write(stream, refusal(&id)).await,
+            Script::NotExecutedAndAgain(body) => {
+                if !write(stream, refusal(&id)).await {
+                    return false;
+                }
+                let Some(next) = read_request(stream).await else { return false };
+                let next_id = next.header("baobabvane-request-id").unwrap_or("-").to_owned();
+                self.received.borrow_mut().push(next);
+                write(stream, refusal(&id) + &signed_answer(200, &next_id, body)).await
+            }
+            Script::AnonymousRefusalBefore(body) => {
+                let line = format!("baobabvane-request-id: {id}\r\n");
+                let anonymous = refusal(&id).replace(&line, "");
+                write(stream, anonymous + &signed_answer(200, &id, body)).await
             }
             Script::Misdirected => {
                 write(stream, "HTTP/1.1 421 x\r\ncontent-length: 0\r\n\r\n".to_owned()).await
@@ -339,6 +354,14 @@
     )
 }
 
+/// Returns an answer that states that the request was not executed.
+fn refusal(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 x\r\nbaobabvane-request-id: {id}\r\nbaobabvane-not-executed: 1\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
 /// Adds a header line to an answer.
 fn with_header(answer: String, line: &str) -> String {
     answer.replacen("\r\n", &format!("\r\n{line}"), 1)
--- a/crates/gateway/tests/testsuite/retries.rs
+++ b/crates/gateway/tests/testsuite/retries.rs
@@ -176,3 +176,29 @@
         eventually(|| cancelled() == 6).await;
     });
 }
+
+#[test]
+fn an_earlier_refusal_that_is_written_again_does_not_make_a_request_run_twice() {
+    block_on(async {
+        let scripts = [Script::NotExecutedAndAgain("first"), Script::Answer(200, "second")];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        let answer = gateway.post("/postings/").await;
+        assert_eq!(answer.status.as_u16(), 200);
+        // One was refused, one ran.
+        assert_eq!(endpoint.received_requests().len(), 2);
+    });
+}
+
+#[test]
+fn a_refusal_without_an_id_on_a_kept_connection_says_nothing_of_the_request() {
+    block_on(async {
+        let scripts = [Script::Answer(200, "first"), Script::AnonymousRefusalBefore("second")];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = GatewayFixture::start(&[&endpoint]).await;
+        assert_eq!(gateway.post("/postings/").await.body, "first");
+        // The request runs, so the caller must not be told that it has not, nor may it run again.
+        assert_eq!(gateway.post("/postings/").await.status.as_u16(), 502);
+        assert_eq!(endpoint.received_requests().len(), 2);
+    });
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -77,6 +77,7 @@
     keep_alive: bool,
     accepts_close_delimited: bool,
     is_close_delimited: bool,
+    requests_sent: u64,
 }
 
 impl ClientConn {
@@ -93,6 +94,7 @@
             keep_alive: true,
             accepts_close_delimited: false,
             is_close_delimited: false,
+            requests_sent: 0,
         }
     }
 
@@ -116,6 +118,7 @@
         body: Bytes,
     ) -> Result<(), WireError> {
         self.keep_alive = false;
+        self.requests_sent += 1;
         let mut headers = headers.clone();
         if !headers.contains_key(header::HOST) {
             headers.insert(header::HOST, self.host.clone());
@@ -176,6 +179,12 @@
         self.body.read_to_end(&mut self.framed, max_bytes).await
     }
 
+    /// Returns whether requests were sent on the connection before the last one, so that a faulty
+    /// server may still answer one of those.
+    pub fn was_kept(&self) -> bool {
+        self.requests_sent > 1
+    }
+
     /// Returns whether another request may be sent on the connection.
     ///
     /// Returns false while a response is unread, and after unsolicited bytes have
