gateway: only events are forwarded as a stream

Report of another operator: a stream broke off, the next engine answered with an error, and callers found its text in their stream. Here: an error status cut the stream, as it should, but any success was taken for a stream, so that an error page with status 200 appeared between events. Change: an answer is a stream only with the content type of one. The stand-in endpoint states it, as endpoints do.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -402,7 +402,9 @@
     }
 
     fn is_event_stream(&self, head: &http::Response<()>) -> bool {
-        self.request.route.semantics == Semantics::Stream && head.status().is_success()
+        self.request.route.semantics == Semantics::Stream
+            && head.status().is_success()
+            && headers::is_event_stream(head.headers())
     }
 
     fn connection_failed(
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -3,7 +3,7 @@
 //! A header that is missing or malformed reads as `None`, never as an error.
 
 use baobabvane_decide::SelfReport;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 
 /// Names of headers that differ between deployments; the platform's adapter supplies them.
 #[derive(Clone, Debug)]
@@ -60,6 +60,13 @@
 /// Request header with the id of the event after which a stream is resumed.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
+/// Returns whether the content type is that of an event stream.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = text(headers, &header::CONTENT_TYPE).unwrap_or_default();
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Returns a header's value without surrounding whitespace, if it is visible ASCII.
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim)
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -185,3 +185,28 @@
         assert_eq!(request_stream(&gateway, "/answers/").await, (events(1, 6), true));
     });
 }
+
+#[test]
+fn an_error_of_the_next_endpoint_never_appears_in_a_stream_that_broke_off() {
+    let errors = [
+        Script::Answer(500, "id: 9\ndata: failed\n\n"),
+        Script::Answer(404, "id: 9\ndata: failed\n\n"),
+        Script::NotExecuted,
+        Script::Answer(200, "id: 9\ndata: an error page\n\n"),
+        Script::UntilClose("id: 9\ndata: an error page\n\n"),
+        Script::Garbage,
+    ];
+    block_on(async {
+        for error in errors {
+            let case = format!("{error:?}");
+            let scripts = [Script::BrokenEvents(2), error];
+            let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+            let gateway = GatewayFixture::start(&[&endpoint]).await;
+            let mut caller = gateway.connect_caller().await;
+            caller.send(Method::POST, "/answers/", &[]).await.expect("the gateway reads");
+            let (text, end) = caller.read_pieces().await;
+            assert_eq!(text, events(1, 2), "{case}");
+            assert!(end.is_err(), "{case}: the stream looks complete");
+        }
+    });
+}
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -106,6 +106,8 @@
         let after = header(req, &LAST_EVENT_ID).parse::<u64>().unwrap_or(0);
         let mut head = Response::new(Bytes::new());
         *head.headers_mut() = headers;
+        let event_stream = HeaderValue::from_static("text/event-stream");
+        head.headers_mut().insert(http::header::CONTENT_TYPE, event_stream);
         let (parts, _) = head.into_parts();
         if conn.start_stream(http::Response::from_parts(parts, ())).await.is_err() {
             return false;
