decide: an endpoint that says it is leaving gets no more requests

An endpoint that leaves says so in all its answers. Nothing read that, so an instance that cannot reach the store went on sending to it. Change: SelfReports keeps it until the process is gone, and the core takes the endpoint as leaving whatever discovery lists.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -52,5 +52,5 @@
     policy::{Placement, Policy, TierPolicy},
     quarantine::{Block, CrashReport, Evidence, PartRecord, ProcessId, Quarantine},
     rate_share::{RateShare, Sender, Senders},
-    self_report::{RateLimitReport, SelfReport, SelfReports},
+    self_report::{RateLimitReport, SelfReport, SelfReportChanges, SelfReports},
 };
--- a/crates/decide/src/self_report.rs
+++ b/crates/decide/src/self_report.rs
@@ -2,7 +2,7 @@
 //!
 //! See [what endpoints say of themselves](../../../docs/decisions.md#self-reports).
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 
 use crate::{Millis, ProcessId};
@@ -15,6 +15,17 @@
     /// The requests per second that it takes from all senders together, for as long as its answers
     /// say so; 0 or more.
     pub rate_limit_per_s: Option<f64>,
+    /// Whether it is leaving: it finishes its requests and accepts no new ones.
+    pub is_leaving: bool,
+}
+
+/// What a report changes for the requests that follow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SelfReportChanges {
+    /// Whether the endpoint's rate limit began, changed or ended.
+    pub rate_limit: bool,
+    /// Whether the endpoint says for the first time that it is leaving.
+    pub leaves: bool,
 }
 
 /// The time for which the end of a limit is reported, in milliseconds. Every instance of the
@@ -65,19 +76,34 @@
 #[derive(Debug, Default)]
 pub struct SelfReports {
     rate_limits: FxHashMap<ProcessId, RateLimit>,
+    leaving: FxHashSet<ProcessId>,
     /// Counts calls of [`SelfReports::rate_limits`], to select the limits whose turn it is.
     report_count: usize,
 }
 
 impl SelfReports {
     /// Records what an endpoint says in an answer that arrives at `now`, to a request that was
-    /// sent at `sent_at`. Returns whether its rate limit changed.
+    /// sent at `sent_at`.
     pub fn record(
         &mut self,
         endpoint: ProcessId,
         report: &SelfReport,
         sent_at: Millis,
         now: Millis,
+    ) -> SelfReportChanges {
+        SelfReportChanges {
+            rate_limit: self.record_rate_limit(endpoint, report, sent_at, now),
+            leaves: report.is_leaving && self.leaving.insert(endpoint),
+        }
+    }
+
+    /// Returns whether the rate limit changed.
+    fn record_rate_limit(
+        &mut self,
+        endpoint: ProcessId,
+        report: &SelfReport,
+        sent_at: Millis,
+        now: Millis,
     ) -> bool {
         let known = self.rate_limits.get(&endpoint).copied().unwrap_or_default();
         let per_s = report.rate_limit_per_s.map(|per_s| per_s as f32);
@@ -138,9 +164,15 @@
         self.rate_limits.get(&endpoint)?.per_s.map(f64::from)
     }
 
+    /// Returns whether the endpoint has said that it is leaving.
+    pub fn is_leaving(&self, endpoint: ProcessId) -> bool {
+        self.leaving.contains(&endpoint)
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, endpoint: ProcessId) {
         self.rate_limits.remove(&endpoint);
+        self.leaving.remove(&endpoint);
     }
 }
 
@@ -157,12 +189,12 @@
     #[test]
     fn a_limit_ends_with_an_answer_to_a_later_request() {
         let mut reports = SelfReports::default();
-        assert!(reports.record(ENDPOINT, &limit(4.0), 0.0, 100.0));
-        assert!(!reports.record(ENDPOINT, &limit(4.0), 50.0, 200.0));
+        assert!(reports.record(ENDPOINT, &limit(4.0), 0.0, 100.0).rate_limit);
+        assert!(!reports.record(ENDPOINT, &limit(4.0), 50.0, 200.0).rate_limit);
         // Its request was sent before the limit was known.
-        assert!(!reports.record(ENDPOINT, &SelfReport::default(), 150.0, 210.0));
+        assert!(!reports.record(ENDPOINT, &SelfReport::default(), 150.0, 210.0).rate_limit);
         assert_eq!(reports.rate_limit(ENDPOINT), Some(4.0));
-        assert!(reports.record(ENDPOINT, &SelfReport::default(), 300.0, 400.0));
+        assert!(reports.record(ENDPOINT, &SelfReport::default(), 300.0, 400.0).rate_limit);
         assert_eq!(reports.rate_limit(ENDPOINT), None);
     }
 
@@ -205,4 +237,17 @@
         seen.dedup();
         assert_eq!(seen.len(), 100);
     }
+
+    #[test]
+    fn an_endpoint_leaves_once_until_it_is_gone() {
+        let mut reports = SelfReports::default();
+        let leaving = SelfReport { is_leaving: true, ..SelfReport::default() };
+        assert!(reports.record(ENDPOINT, &leaving, 0.0, 100.0).leaves);
+        assert!(!reports.record(ENDPOINT, &leaving, 0.0, 100.0).leaves);
+        // An answer that was written before comes later.
+        assert!(!reports.record(ENDPOINT, &SelfReport::default(), 0.0, 200.0).leaves);
+        assert!(reports.is_leaving(ENDPOINT));
+        reports.forget(ENDPOINT);
+        assert!(!reports.is_leaving(ENDPOINT));
+    }
 }
--- a/crates/decide/tests/rate_limits.rs
+++ b/crates/decide/tests/rate_limits.rs
@@ -220,7 +220,7 @@
             self.instances[i].in_flight.pop_front_if(|(ends_at, ..)| *ends_at <= now)
         {
             let index = self.keys.iter().position(|k| *k == key).expect("a known key");
-            if self.instances[i].reports.record(process(index), &report, sent_at, now) {
+            if self.instances[i].reports.record(process(index), &report, sent_at, now).rate_limit {
                 self.share_limits(i, now);
             }
             let core = &mut self.instances[i].core;
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -514,8 +514,10 @@
     pub(super) fn remove_unforwarded_headers(&self, headers: &mut HeaderMap) {
         baobabvane_wire::remove_hop_by_hop(headers);
         headers.remove(header::CONTENT_LENGTH);
-        headers.remove(&self.cx.header_names.load);
-        headers.remove(&self.cx.header_names.rate_limit);
+        let names = &self.cx.header_names;
+        for name in [&names.load, &names.rate_limit, &names.leaving] {
+            headers.remove(name);
+        }
     }
 
     fn attempt_headers(
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -31,6 +31,8 @@
     /// Response: the requests per second that the endpoint takes from all instances together, a
     /// decimal number.
     pub rate_limit: HeaderName,
+    /// Response: `1` if the endpoint is leaving.
+    pub leaving: HeaderName,
     /// Response: present if the endpoint did not run the request.
     pub not_executed: HeaderName,
     /// Request: further headers that callers may not set; removed before forwarding.
@@ -51,6 +53,7 @@
             signature: name("baobabvane-signature"),
             load: name("baobabvane-load"),
             rate_limit: name("baobabvane-rate-limit"),
+            leaving: name("baobabvane-leaving"),
             not_executed: name("baobabvane-not-executed"),
             reserved: Vec::new(),
         }
@@ -82,6 +85,7 @@
     SelfReport {
         outstanding_requests: outstanding_requests(headers, &names.load),
         rate_limit_per_s: decimal(headers, &names.rate_limit),
+        is_leaving: text(headers, &names.leaving) == Some("1"),
     }
 }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -391,7 +391,12 @@
         now: f64,
     ) {
         let Some(endpoint) = self.directory.get(key) else { return };
-        if self.self_reports.record(process_id(endpoint), report, sent_at, now) {
+        let changes = self.self_reports.record(process_id(endpoint), report, sent_at, now);
+        if changes.leaves {
+            log::info!("event=endpoint_says_leaving endpoint={}", endpoint.id);
+            self.notify_endpoint_pool(key, Event::EndpointLeaving(key));
+        }
+        if changes.rate_limit {
             self.apply_rate_limit(key, "answer");
         }
         if let Some(requests) = report.outstanding_requests {
@@ -554,6 +559,10 @@
                     let pool = Rc::from(endpoint.pool.as_str());
                     let spec = self.endpoint_spec(&endpoint);
                     self.notify_pool(&pool, Event::EndpointJoined(key, spec));
+                    // Discovery may not know yet what the endpoint said of itself.
+                    if self.self_reports.is_leaving(process_id(&endpoint)) {
+                        self.notify_pool(&pool, Event::EndpointLeaving(key));
+                    }
                 }
                 EndpointChange::Leaving(key) => {
                     let Some(endpoint) = self.directory.get(key) else { continue };
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -61,6 +61,10 @@
     UntilClose(&'static str),
     /// Answers 200 and names this rate limit, in requests per second.
     RateLimited(&'static str, &'static str),
+    /// Answers 200 and says that the endpoint is leaving.
+    Leaving(&'static str),
+    /// Answers like `NotExecuted`, with this `Retry-After` in seconds.
+    RetryAfter(&'static str),
     /// Answers 200 without the signature header.
     Unsigned,
     /// Sends bytes that are not HTTP.
@@ -290,6 +294,14 @@
                 let header = format!("baobabvane-rate-limit: {per_s}\r\n");
                 write(stream, with_header(signed_answer(200, &id, body), &header)).await
             }
+            Script::Leaving(body) => {
+                let answer = signed_answer(200, &id, body);
+                write(stream, with_header(answer, "baobabvane-leaving: 1\r\n")).await
+            }
+            Script::RetryAfter(seconds) => {
+                let header = format!("retry-after: {seconds}\r\n");
+                write(stream, with_header(refusal(&id), &header)).await
+            }
             Script::Unsigned => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\ncontent-length: 2\r\n\r\nno"
--- a/crates/gateway/tests/testsuite/limits.rs
+++ b/crates/gateway/tests/testsuite/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use baobabvane_gateway::DiscoveredEndpoint;
 use http::StatusCode;
 use monoio::time::{Instant, sleep};
 
@@ -56,3 +57,29 @@
         }
     });
 }
+
+#[test]
+fn an_endpoint_that_says_it_is_leaving_gets_no_more_requests() {
+    block_on(async {
+        let leaving = Endpoint::spawn("e1", "desk", &[Script::Leaving("leaving")]);
+        let stays = Endpoint::spawn("e2", "desk", &[Script::Answer(200, "stays")]);
+        let gateway = start(&[&leaving, &stays]).await;
+        for _ in 0..REQUESTS {
+            assert!(!gateway.get("/reads/").await.headers.contains_key("baobabvane-leaving"));
+        }
+        assert_eq!(leaving.received_requests().len(), 1);
+        // Discovery does not know it yet; its entry changes in another respect.
+        let entry = DiscoveredEndpoint { slots: 9, ..leaving.entry.clone() };
+        gateway.feed.endpoint_updated(entry.clone());
+        for _ in 0..REQUESTS {
+            gateway.get("/reads/").await;
+        }
+        assert_eq!(leaving.received_requests().len(), 1);
+        // A process that starts under the same id has said nothing.
+        gateway.feed.endpoint_updated(DiscoveredEndpoint { started_ms: 2, ..entry });
+        for _ in 0..REQUESTS {
+            gateway.get("/reads/").await;
+        }
+        assert_eq!(leaving.received_requests().len(), 2);
+    });
+}
