decide: an endpoint that names a Retry-After gets no request of this instance until then

An endpoint that turns a request away with 503 may add Retry-After: it wants nothing from this instance for so long. Nothing read that. Change: the core sends it nothing until then. If no endpoint lets requests through within a second, those that wait are refused as new ones are, with the time until the first one does as Retry-After.

--- a/crates/decide/src/breaker.rs
+++ b/crates/decide/src/breaker.rs
@@ -43,9 +43,9 @@
         self.times_opened > 0
     }
 
-    /// Returns whether the breaker allows no probe until after `time`.
-    pub(crate) fn rejects_until_after(&self, time: Millis) -> bool {
-        self.times_opened > 0 && self.open_until > time
+    /// Returns from when on the breaker allows a probe.
+    pub(crate) fn opens_at(&self) -> Millis {
+        if self.times_opened > 0 { self.open_until } else { Millis::NEG_INFINITY }
     }
 
     /// Records a dispatch; it is the probe if the breaker is open.
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -153,6 +153,13 @@
                 }
                 self.refresh(key);
             }
+            Event::PauseRequested(key, until) => {
+                if let Some(endpoint) = self.endpoints.get_mut(key) {
+                    endpoint.pause(until);
+                }
+                self.refresh(key);
+                self.refuse_all_without_endpoint();
+            }
             Event::RateShared(key, share) => {
                 if let Some(endpoint) = self.endpoints.get_mut(key) {
                     endpoint.set_rate_share(self.now, share);
@@ -457,7 +464,10 @@
     }
 
     fn refuse(&mut self, ticket: Ticket, rank: Rank, since: Millis, refusal: Refusal) {
-        let why = self.why(rank, since);
+        let mut why = self.why(rank, since);
+        if refusal == Refusal::NoEndpoint {
+            why.endpoint_wait_ms = self.endpoint_wait();
+        }
         self.actions.push_back(Action::Refuse(ticket, refusal, why));
     }
 
@@ -469,6 +479,7 @@
             tier_wait_ms: self.with_pool(|pool| Shedder::estimated_wait(pool, rank)),
             in_flight: self.in_flight.len() as u32,
             room: self.total_room(),
+            endpoint_wait_ms: 0.0,
         }
     }
 
--- a/crates/decide/src/core/endpoints.rs
+++ b/crates/decide/src/core/endpoints.rs
@@ -25,7 +25,15 @@
     /// waiting until its deadline.
     pub(super) fn may_serve_soon(&self) -> bool {
         let soon = self.now + MAX_OPEN_WAIT_MS;
-        self.endpoints.values().any(|e| !e.is_leaving && !e.breaker.rejects_until_after(soon))
+        self.endpoints.values().any(|e| e.opens_at().is_some_and(|at| at <= soon))
+    }
+
+    /// Returns the time until an endpoint lets requests through, in milliseconds; 0 if one does, or
+    /// if none is known that will.
+    pub(super) fn endpoint_wait(&self) -> Millis {
+        let opens_at = self.endpoints.values().filter_map(Endpoint::opens_at);
+        let wait = opens_at.reduce(f64::min).map_or(0.0, |at| at - self.now);
+        wait.max(0.0)
     }
 
     pub(super) fn endpoint_joined(&mut self, key: EndpointKey, spec: &EndpointSpec) {
@@ -57,9 +65,9 @@
         self.refuse_all_without_endpoint();
     }
 
-    /// Refuses all waiting requests, least urgent first, if every endpoint is leaving or gone.
-    fn refuse_all_without_endpoint(&mut self) {
-        if self.endpoints.values().any(|e| !e.is_leaving) {
+    /// Refuses all waiting requests, least urgent first, if no endpoint will serve them soon.
+    pub(super) fn refuse_all_without_endpoint(&mut self) {
+        if self.may_serve_soon() {
             return;
         }
         loop {
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -94,6 +94,8 @@
     in_flight_peaks: InFlightPeaks,
     /// What this scheduler may still send, if the endpoint has a rate limit.
     rate_bucket: Option<RateBucket>,
+    /// Until when the endpoint wants no request of this scheduler.
+    paused_until: Millis,
     /// Mean time that a request of the pool spends at an endpoint.
     request_duration_ms: Millis,
 }
@@ -153,6 +155,7 @@
             overcommit_ratio: 0.0,
             in_flight_peaks: InFlightPeaks::default(),
             rate_bucket: None,
+            paused_until: Millis::NEG_INFINITY,
             request_duration_ms: 0.0,
         }
     }
@@ -166,7 +169,7 @@
 
     /// Returns how many more requests may be sent now; at most one while the breaker is open.
     pub(crate) fn free_room(&self, now: Millis) -> u32 {
-        if self.is_leaving || !self.breaker.allows(now) {
+        if self.is_leaving || now < self.paused_until || !self.breaker.allows(now) {
             return 0;
         }
         let free = self.room(now).saturating_sub(self.in_flight);
@@ -191,6 +194,9 @@
         if self.is_leaving {
             return 0;
         }
+        if now < self.paused_until {
+            return self.in_flight;
+        }
         if let Some(bucket) = &self.rate_bucket {
             return self.slots.min(self.in_flight + bucket.available(now));
         }
@@ -229,6 +235,17 @@
         self.peer_load = peer_load;
     }
 
+    /// Sends no requests until then, or until the end of an earlier pause if that is later.
+    pub(crate) fn pause(&mut self, until: Millis) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Returns from when on requests may be sent, as far as it is known; `None` if the endpoint is
+    /// leaving.
+    pub(crate) fn opens_at(&self) -> Option<Millis> {
+        (!self.is_leaving).then(|| self.paused_until.max(self.breaker.opens_at()))
+    }
+
     /// Replaces the part of the endpoint's rate limit that this scheduler may use.
     pub(crate) fn set_rate_share(&mut self, now: Millis, share: Option<RateShare>) {
         match (share, &mut self.rate_bucket) {
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -178,6 +178,8 @@
     EndpointGone(EndpointKey),
     /// An endpoint reported its load.
     LoadReported(EndpointKey, LoadReport),
+    /// An endpoint wants no request of this scheduler until then.
+    PauseRequested(EndpointKey, Millis),
     /// The part of an endpoint's rate limit that this scheduler may use changed; `None` if the
     /// endpoint has no limit.
     RateShared(EndpointKey, Option<RateShare>),
@@ -233,6 +235,10 @@
     /// Requests that this scheduler may have in flight at all endpoints together, including
     /// those already in flight.
     pub room: u32,
+    /// Time until an endpoint lets requests through again, in milliseconds, if the request was
+    /// refused because none does at present; otherwise 0.
+    #[serde(default)]
+    pub endpoint_wait_ms: Millis,
 }
 
 /// The endpoint chosen for a request, with the estimates for it.
--- a/crates/decide/src/self_report.rs
+++ b/crates/decide/src/self_report.rs
@@ -17,6 +17,8 @@
     pub rate_limit_per_s: Option<f64>,
     /// Whether it is leaving: it finishes its requests and accepts no new ones.
     pub is_leaving: bool,
+    /// For how long it wants no request of this instance, in milliseconds.
+    pub retry_after_ms: Option<Millis>,
 }
 
 /// What a report changes for the requests that follow.
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -363,7 +363,7 @@
         };
         self.cx.scheduler.send(SchedulerMessage::EndpointReported(
             grant.endpoint,
-            headers::self_report(head.headers(), &self.cx.header_names),
+            headers::self_report(&head, &self.cx.header_names),
             sent_at.elapsed(),
         ));
         if head.headers().contains_key(&self.cx.header_names.not_executed)
--- a/crates/gateway/src/caller/failure.rs
+++ b/crates/gateway/src/caller/failure.rs
@@ -13,8 +13,7 @@
 use super::reply::LocalReply;
 use crate::{context::Context, scheduler::Refused};
 
-/// Bounds of `Retry-After`; after a refusal for load, the estimated wait in the request's tier is
-/// clamped to them.
+/// Bounds of `Retry-After` after a refusal for load. The lower one holds for all refusals.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 
@@ -82,12 +81,16 @@
 
 impl Refused {
     /// Returns the delay after which a retry may succeed: after a refusal for load, the estimated
-    /// wait in the request's tier; otherwise the minimum.
+    /// wait in the request's tier; if no endpoint lets requests through, the time until one does;
+    /// otherwise the minimum.
     fn retry_after(self) -> Duration {
-        let wait = match self {
-            Self::Core { refusal: Refusal::Load, why } => why.tier_wait_ms / 1_000.0,
-            _ => 0.0,
+        let (wait_ms, max) = match self {
+            Self::Core { refusal: Refusal::Load, why } => (why.tier_wait_ms, MAX_RETRY_AFTER),
+            Self::Core { refusal: Refusal::NoEndpoint, why } => {
+                (why.endpoint_wait_ms, Duration::MAX)
+            }
+            _ => (0.0, MAX_RETRY_AFTER),
         };
-        Duration::from_secs_f64(wait.max(0.0)).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        Duration::from_secs_f64(wait_ms.max(0.0) / 1_000.0).clamp(MIN_RETRY_AFTER, max)
     }
 }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -3,7 +3,7 @@
 //! A header that is missing or malformed reads as `None`, never as an error.
 
 use baobabvane_decide::SelfReport;
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
 /// Names of headers that differ between deployments; the platform's adapter supplies them.
 #[derive(Clone, Debug)]
@@ -60,6 +60,9 @@
     }
 }
 
+/// The longest time for which an endpoint may turn requests away, in seconds.
+const MAX_RETRY_AFTER_S: f64 = 3_600.0;
+
 /// Request header with the id of the event after which a stream is resumed.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -81,8 +84,12 @@
 }
 
 /// Returns what an endpoint says of itself in the head of an answer.
-pub(crate) fn self_report(headers: &HeaderMap, names: &HeaderNames) -> SelfReport {
+pub(crate) fn self_report(head: &http::Response<()>, names: &HeaderNames) -> SelfReport {
+    let headers = head.headers();
+    let is_unavailable = head.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after_s = decimal(headers, &header::RETRY_AFTER).filter(|_| is_unavailable);
     SelfReport {
+        retry_after_ms: retry_after_s.map(|s| s.min(MAX_RETRY_AFTER_S) * 1_000.0),
         outstanding_requests: outstanding_requests(headers, &names.load),
         rate_limit_per_s: decimal(headers, &names.rate_limit),
         is_leaving: text(headers, &names.leaving) == Some("1"),
@@ -133,9 +140,26 @@
             ("inf", None),
             ("many", None),
         ] {
-            let mut headers = HeaderMap::new();
-            headers.insert(&names.rate_limit, HeaderValue::from_static(value));
-            assert_eq!(self_report(&headers, &names).rate_limit_per_s, limit, "{value}");
+            let mut head = http::Response::new(());
+            head.headers_mut().insert(&names.rate_limit, HeaderValue::from_static(value));
+            assert_eq!(self_report(&head, &names).rate_limit_per_s, limit, "{value}");
+        }
+    }
+
+    #[test]
+    fn retry_after_counts_with_status_503_and_is_bounded() {
+        let names = HeaderNames::default();
+        for (status, value, ms) in [
+            (503, "2.5", Some(2_500.0)),
+            (503, "1e300", Some(MAX_RETRY_AFTER_S * 1_000.0)),
+            (503, "Wed, 21 Oct 2015 07:28:00 GMT", None),
+            (429, "2", None),
+            (200, "2", None),
+        ] {
+            let mut head = http::Response::new(());
+            *head.status_mut() = StatusCode::from_u16(status).unwrap();
+            head.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(value));
+            assert_eq!(self_report(&head, &names).retry_after_ms, ms, "{status} {value}");
         }
     }
 }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -392,6 +392,9 @@
     ) {
         let Some(endpoint) = self.directory.get(key) else { return };
         let changes = self.self_reports.record(process_id(endpoint), report, sent_at, now);
+        if let Some(ms) = report.retry_after_ms {
+            log::info!("event=endpoint_pause endpoint={} ms={ms:.0}", endpoint.id);
+        }
         if changes.leaves {
             log::info!("event=endpoint_says_leaving endpoint={}", endpoint.id);
             self.notify_endpoint_pool(key, Event::EndpointLeaving(key));
@@ -399,6 +402,9 @@
         if changes.rate_limit {
             self.apply_rate_limit(key, "answer");
         }
+        if let Some(retry_after_ms) = report.retry_after_ms {
+            self.notify_endpoint_pool(key, Event::PauseRequested(key, now + retry_after_ms));
+        }
         if let Some(requests) = report.outstanding_requests {
             let load = LoadReport { requests, age_ms: 0.0 };
             self.notify_endpoint_pool(key, Event::LoadReported(key, load));
--- a/crates/gateway/tests/testsuite/limits.rs
+++ b/crates/gateway/tests/testsuite/limits.rs
@@ -83,3 +83,38 @@
         assert_eq!(leaving.received_requests().len(), 2);
     });
 }
+
+#[test]
+fn an_endpoint_that_names_a_retry_after_gets_no_request_until_then() {
+    block_on(async {
+        let scripts = [Script::RetryAfter("2.5"), Script::Answer(200, "free")];
+        let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+        let gateway = start(&[&endpoint]).await;
+        let began_at = Instant::now();
+        let free_at = loop {
+            let answer = gateway.get("/reads/").await;
+            if answer.status == StatusCode::OK {
+                break began_at.elapsed();
+            }
+            assert_eq!(endpoint.received_requests().len(), 1);
+            assert!(began_at.elapsed() < WAIT_TIMEOUT, "it gets no more requests");
+            sleep(Duration::from_millis(5)).await;
+        };
+        assert!(free_at >= Duration::from_millis(2_500), "{free_at:?}");
+    });
+}
+
+#[test]
+fn callers_are_told_at_once_when_to_come_back_if_no_endpoint_wants_requests() {
+    block_on(async {
+        let full = Endpoint::spawn("e1", "desk", &[Script::RetryAfter("8")]);
+        let gateway = start(&[&full]).await;
+        gateway.get("/reads/").await;
+        let answer = gateway.get("/reads/").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry_after = answer.headers["retry-after"].to_str().expect("a number");
+        let seconds: f64 = retry_after.parse().expect("a number");
+        assert!(seconds > 2.0 && seconds <= 8.0, "{seconds}");
+        assert_eq!(full.received_requests().len(), 1);
+    });
+}
