--- a/crates/entry/examples/soak.rs
+++ b/crates/entry/examples/soak.rs
@@ -8,7 +8,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     path::Path,
     process::ExitCode,
     rc::Rc,
@@ -16,7 +16,8 @@
 };
 
 use baobabvane_standin::{
-    Caller, EndpointFault, Fleet, Process, ProxyFault, Received, STREAM_EVENTS, StoreFault,
+    Caller, EndpointFault, Fleet, Process, ProxyFault, Received, STREAM_EVENTS, StoreCopy,
+    StoreFault,
 };
 use baobabvane_wire::{ClientConn, WireError};
 use clap::{Arg, value_parser};
@@ -60,6 +61,8 @@
     /// The last time that a process was killed, paused or resumed. Requests that begin less than
     /// 5 s after it, or were in flight then, are exempt from the time limit.
     last_disruption: Cell<Instant>,
+    /// Copies of the store from when the last two faults began.
+    store_copies: RefCell<VecDeque<StoreCopy>>,
 }
 
 impl RunState {
@@ -93,6 +96,9 @@
     Configure,
     /// Compacts the store, so that only the newest record of each key stays readable.
     ForgetHistory,
+    /// Restores the store from the oldest copy that is kept; when the fault is cleared, the
+    /// operator and the endpoints write again.
+    Restore,
 }
 
 impl Fault {
@@ -135,7 +141,8 @@
             11 => Self::Drain(endpoint),
             12 => Self::Unlist(endpoint),
             _ if rng.random() => Self::Configure,
-            _ => Self::ForgetHistory,
+            _ if rng.random() => Self::ForgetHistory,
+            _ => Self::Restore,
         }
     }
 
@@ -153,6 +160,11 @@
             Self::Unlist(i) => fleet.remove_endpoint(i),
             Self::Configure => fleet.configure(&["k1", "k2"]),
             Self::ForgetHistory => fleet.store.compact(),
+            Self::Restore => {
+                if let Some(copy) = state.store_copies.borrow_mut().pop_front() {
+                    fleet.store.restore(copy);
+                }
+            }
         }
         if matches!(self, Self::Kill(_) | Self::Pause(_)) {
             state.last_disruption.set(Instant::now());
@@ -174,6 +186,10 @@
             Self::Endpoint(i, _) => fleet.endpoints[i].0.set_fault(EndpointFault::None),
             Self::EndpointLink(i, _) => fleet.endpoints[i].1.set_fault(ProxyFault::None),
             Self::Drain(i) | Self::Unlist(i) => fleet.put_endpoint(i, "ready"),
+            Self::Restore => {
+                fleet.configure(&["k1", "k2"]);
+                (0..ENDPOINT_COUNT).for_each(|i| fleet.put_endpoint(i, "ready"));
+            }
             Self::Pause(_) | Self::Reload(_) | Self::Configure | Self::ForgetHistory => {}
         }
         if matches!(self, Self::Pause(_)) {
@@ -245,6 +261,7 @@
         is_stopping: Cell::new(false),
         attempt_count: Cell::new(0),
         last_disruption: Cell::new(Instant::now()),
+        store_copies: RefCell::default(),
     });
     wait_until_ready(fleet, &state).await;
     let addresses: Vec<_> = fleet.gateways.iter().map(|g| g.callers()).collect();
@@ -276,6 +293,11 @@
         if !fault.signalled_gateway().is_some_and(has_active_fault) {
             println!("fault={fault:?} ms={}", duration.as_millis());
             fault.inject(fleet, state);
+            let mut copies = state.store_copies.borrow_mut();
+            copies.push_back(fleet.store.copy());
+            if copies.len() > 2 {
+                copies.pop_front();
+            }
             active.push((Instant::now() + duration, fault));
         }
         for _ in 0..rng.random_range(1..8) {
