decide: limits of endpoints that are gone are not kept alive between instances

Cause: merge took limits of endpoints that the instance does not list, and limits are reported for as long as they hold, so that instances would tell each other of an endpoint that is gone for ever, in place of those that live. Change: SelfReports knows the endpoints that discovery lists. An entry without a revision is not taken for older than one with a revision. The scheduler's part in what endpoints say of themselves has a file of its own.

--- a/crates/decide/src/rate_share.rs
+++ b/crates/decide/src/rate_share.rs
@@ -23,7 +23,6 @@
 const BURST_S: f64 = 0.5;
 /// The lowest demand of an instance that counts, as a share of the mean demand of the senders.
 const MIN_DEMAND_SHARE: f64 = 0.25;
-
 /// The lowest demand that is told apart when senders are selected, in requests per second.
 const MIN_DEMAND_PER_S: f64 = 0.25;
 
@@ -80,16 +79,16 @@
     pub fn share(&self, endpoint: ProcessId, zone: u32, limit_per_s: f64) -> RateShare {
         let limit_per_s = (limit_per_s * self.live_share).max(MIN_LIMIT_PER_S);
         let order = |sender: &Sender| (sender.zone != zone, OrderedF64(draw(endpoint, sender)));
-        let own = order(&self.own);
-        let rank = self.others.iter().filter(|other| order(other) < own).count();
-        let most = (limit_per_s.ceil() + EXTRA_SENDERS).min(self.others.len() as f64 + 1.0);
-        if rank as f64 >= most {
+        let own_order = order(&self.own);
+        let rank = self.others.iter().filter(|other| order(other) < own_order).count();
+        let sender_count = (limit_per_s.ceil() + EXTRA_SENDERS).min(self.others.len() as f64 + 1.0);
+        if rank as f64 >= sender_count {
             return RateShare { limit_per_s, per_s: 0.0, burst: 0.0, initial: 0.0 };
         }
         let mut senders: Vec<&Sender> = self.others.iter().chain([&self.own]).collect();
         senders.sort_unstable_by_key(|sender| order(sender));
-        senders.truncate(most as usize);
-        let mean = senders.iter().map(|s| s.demand_per_s).sum::<f64>() / most;
+        senders.truncate(sender_count as usize);
+        let mean = senders.iter().map(|s| s.demand_per_s).sum::<f64>() / sender_count;
         let counted = |sender: &Sender| match mean > 0.0 {
             true => sender.demand_per_s.max(mean * MIN_DEMAND_SHARE),
             false => 1.0,
@@ -97,7 +96,7 @@
         let total: f64 = senders.iter().map(|sender| counted(sender)).sum();
         let per_s = limit_per_s * counted(&self.own) / total;
         let burst = (per_s * BURST_S).max(1.0);
-        RateShare { limit_per_s, per_s, burst, initial: rank as f64 / most }
+        RateShare { limit_per_s, per_s, burst, initial: rank as f64 / sender_count }
     }
 }
 
--- a/crates/decide/src/self_report.rs
+++ b/crates/decide/src/self_report.rs
@@ -77,6 +77,8 @@
 /// instances that have a part of it go on asking.
 #[derive(Debug, Default)]
 pub struct SelfReports {
+    /// The endpoints that discovery lists; of others nothing is kept.
+    endpoints: FxHashSet<ProcessId>,
     rate_limits: FxHashMap<ProcessId, RateLimit>,
     leaving: FxHashSet<ProcessId>,
     /// Counts calls of [`SelfReports::rate_limits`], to select the limits whose turn it is.
@@ -84,6 +86,11 @@
 }
 
 impl SelfReports {
+    /// Adds an endpoint.
+    pub fn join(&mut self, endpoint: ProcessId) {
+        self.endpoints.insert(endpoint);
+    }
+
     /// Records what an endpoint says in an answer that arrives at `now`, to a request that was
     /// sent at `sent_at`.
     pub fn record(
@@ -123,9 +130,12 @@
     }
 
     /// Adds what another instance knows, and returns the endpoints whose limit changed.
+    ///
+    /// Limits of endpoints that are not listed here are left out; otherwise instances would
+    /// tell each other of an endpoint that is gone for ever.
     pub fn merge(&mut self, reports: &[RateLimitReport], now: Millis) -> Vec<ProcessId> {
         let mut changed = Vec::new();
-        for report in reports {
+        for report in reports.iter().filter(|report| self.endpoints.contains(&report.endpoint)) {
             let known = self.rate_limits.entry(report.endpoint).or_default();
             if known.is_older_than(report) {
                 if known.per_s != report.per_s {
@@ -173,6 +183,7 @@
 
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, endpoint: ProcessId) {
+        self.endpoints.remove(&endpoint);
         self.rate_limits.remove(&endpoint);
         self.leaving.remove(&endpoint);
     }
@@ -188,6 +199,12 @@
         SelfReport { rate_limit_per_s: Some(per_s), ..SelfReport::default() }
     }
 
+    fn reports() -> SelfReports {
+        let mut reports = SelfReports::default();
+        reports.join(ENDPOINT);
+        reports
+    }
+
     #[test]
     fn a_limit_ends_with_an_answer_to_a_later_request() {
         let mut reports = SelfReports::default();
@@ -202,7 +219,7 @@
 
     #[test]
     fn instances_that_are_not_told_learn_of_a_limit_and_of_its_end() {
-        let (mut told, mut other) = (SelfReports::default(), SelfReports::default());
+        let (mut told, mut other) = (reports(), reports());
         told.record(ENDPOINT, &limit(4.0), 0.0, 100.0);
         let named = told.rate_limits(150.0);
         assert_eq!(other.merge(&named, 1_000.0), [ENDPOINT]);
@@ -217,7 +234,7 @@
 
     #[test]
     fn the_lower_of_two_limits_that_are_equally_new_holds() {
-        let (mut a, mut b) = (SelfReports::default(), SelfReports::default());
+        let (mut a, mut b) = (reports(), reports());
         a.record(ENDPOINT, &limit(4.0), 0.0, 100.0);
         b.record(ENDPOINT, &limit(3.0), 0.0, 100.0);
         assert_eq!(b.merge(&a.rate_limits(100.0), 100.0), []);
@@ -252,4 +269,14 @@
         reports.forget(ENDPOINT);
         assert!(!reports.is_leaving(ENDPOINT));
     }
+
+    #[test]
+    fn a_limit_of_an_endpoint_that_is_gone_does_not_come_back() {
+        let (mut a, mut b) = (reports(), reports());
+        a.record(ENDPOINT, &limit(4.0), 0.0, 100.0);
+        b.merge(&a.rate_limits(100.0), 100.0);
+        a.forget(ENDPOINT);
+        assert_eq!(a.merge(&b.rate_limits(200.0), 200.0), []);
+        assert_eq!(a.rate_limits(200.0), []);
+    }
 }
--- a/crates/decide/tests/rate_limits.rs
+++ b/crates/decide/tests/rate_limits.rs
@@ -83,9 +83,11 @@
         for key in keys {
             core.handle(0.0, Event::EndpointJoined(*key, spec.clone()));
         }
+        let mut reports = SelfReports::default();
+        (0..keys.len()).for_each(|endpoint| reports.join(process(endpoint)));
         Self {
             core,
-            reports: SelfReports::default(),
+            reports,
             heard_at: vec![f64::NEG_INFINITY; instances],
             demand_per_s,
             in_flight: VecDeque::new(),
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -166,15 +166,17 @@
     /// process that was removed.
     fn is_outdated(&self, entry: &DiscoveredEndpoint) -> bool {
         if let Some(known) = self.key_of(&entry.id).map(|key| &self.endpoints[key]) {
-            let is_same_process = entry.started_ms == known.started_ms;
-            return entry.started_ms < known.started_ms
-                || is_same_process && entry.revision < known.revision;
+            let is_older =
+                entry.revision.zip(known.revision).is_some_and(|(new, known)| new < known);
+            return is_of_earlier_process(entry, known)
+                || entry.started_ms == known.started_ms && is_older;
         }
         let removed = self.removed.iter().find(|removed| removed.id == entry.id);
         removed.is_some_and(|removed| {
-            let is_same_process = entry.started_ms == removed.started_ms;
-            let has_no_news = entry.revision.is_some() && entry.revision <= removed.revision;
-            entry.started_ms < removed.started_ms || is_same_process && has_no_news
+            let has_no_news =
+                entry.revision.zip(removed.revision).is_some_and(|(new, last)| new <= last);
+            is_of_earlier_process(entry, removed)
+                || entry.started_ms == removed.started_ms && has_no_news
         })
     }
 
@@ -251,6 +253,12 @@
     if is_draining { EndpointChange::Leaving(key) } else { EndpointChange::Joined(key) }
 }
 
+/// Returns whether an entry is of a process that started before that of another entry with the
+/// same id.
+fn is_of_earlier_process(entry: &DiscoveredEndpoint, other: &DiscoveredEndpoint) -> bool {
+    entry.started_ms < other.started_ms
+}
+
 /// Returns whether two entries with the same id describe the same process.
 fn is_same_process(a: &DiscoveredEndpoint, b: &DiscoveredEndpoint) -> bool {
     a.address == b.address && a.pool == b.pool && a.started_ms == b.started_ms
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -7,13 +7,13 @@
 mod demand;
 mod fleet;
 mod placement;
+mod self_reports;
 
 use std::{rc::Rc, time::Duration};
 
 use baobabvane_decide::{
-    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, LoadReport, PartRecord,
-    Policy, ProcessId, PromptPart, Quarantine, Rank, RateShare, SelfReport, SelfReports, Senders,
-    Ticket, Why,
+    Action, Core, Ending, EndpointKey, EndpointLoad, EndpointSpec, Event, PartRecord, Policy,
+    ProcessId, PromptPart, Quarantine, Rank, SelfReport, SelfReports, Senders, Ticket, Why,
 };
 use baobabvane_tasks::Mailbox;
 use local_sync::{mpsc::unbounded, oneshot};
@@ -41,8 +41,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// The rank of requests of organisations that use the tolerance of their quota; least urgent.
 const TOLERANCE_RANK: Rank = Rank::MAX;
-/// The interval at which the rate limits of endpoints are divided anew, in milliseconds.
-const RATE_SHARE_INTERVAL_MS: f64 = 500.0;
 /// The number of tokens in one block of a prompt prefix; shared prefixes are rounded to
 /// whole blocks.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
@@ -383,85 +381,6 @@
         }
     }
 
-    fn record_self_report(
-        &mut self,
-        key: EndpointKey,
-        report: &SelfReport,
-        sent_at: f64,
-        now: f64,
-    ) {
-        let Some(endpoint) = self.directory.get(key) else { return };
-        let changes = self.self_reports.record(process_id(endpoint), report, sent_at, now);
-        if let Some(ms) = report.retry_after_ms {
-            log::info!("event=endpoint_pause endpoint={} ms={ms:.0}", endpoint.id);
-        }
-        if changes.leaves {
-            log::info!("event=endpoint_says_leaving endpoint={}", endpoint.id);
-            self.notify_endpoint_pool(key, Event::EndpointLeaving(key));
-        }
-        if changes.rate_limit {
-            self.apply_rate_limit(key, "answer");
-        }
-        if let Some(retry_after_ms) = report.retry_after_ms {
-            self.notify_endpoint_pool(key, Event::PauseRequested(key, now + retry_after_ms));
-        }
-        if let Some(requests) = report.outstanding_requests {
-            let load = LoadReport { requests, age_ms: 0.0 };
-            self.notify_endpoint_pool(key, Event::LoadReported(key, load));
-        }
-    }
-
-    fn merge_rate_limits(&mut self, state: &PeerState, now: f64) {
-        let changed = self.self_reports.merge(&state.local.rate_limits, now);
-        if changed.is_empty() {
-            return;
-        }
-        let endpoints = self.directory.iter();
-        let changed: Vec<EndpointKey> = endpoints
-            .filter(|(_, endpoint)| changed.contains(&process_id(endpoint)))
-            .map(|(key, _)| key)
-            .collect();
-        for key in changed {
-            self.apply_rate_limit(key, "peer");
-        }
-    }
-
-    /// Logs that the rate limit of an endpoint changed, and applies it.
-    fn apply_rate_limit(&mut self, key: EndpointKey, source: &str) {
-        let Some(endpoint) = self.directory.get(key) else { return };
-        let share = self.rate_share(endpoint);
-        log::info!(
-            "event=endpoint_rate_limit endpoint={} per_s={:.3?} own_per_s={:.3?} source={source}",
-            endpoint.id,
-            self.self_reports.rate_limit(process_id(endpoint)),
-            share.map(|share| share.per_s)
-        );
-        self.notify_endpoint_pool(key, Event::RateShared(key, share));
-    }
-
-    /// Returns this instance's part of the rate limit of an endpoint, if it has one.
-    fn rate_share(&self, endpoint: &DiscoveredEndpoint) -> Option<RateShare> {
-        let process = process_id(endpoint);
-        let limit_per_s = self.self_reports.rate_limit(process)?;
-        let zone = id_hash(&endpoint.zone);
-        Some(self.senders.share(process, zone, limit_per_s))
-    }
-
-    /// Divides the rate limits anew, since instances come and go and their demand changes.
-    fn update_rate_shares(&mut self, now: f64) {
-        if now - self.rate_shares_updated_at < RATE_SHARE_INTERVAL_MS {
-            return;
-        }
-        self.rate_shares_updated_at = now;
-        let endpoints = self.directory.iter();
-        let shares: Vec<_> = endpoints
-            .filter_map(|(key, endpoint)| Some((key, self.rate_share(endpoint)?)))
-            .collect();
-        for (key, share) in shares {
-            self.notify_endpoint_pool(key, Event::RateShared(key, Some(share)));
-        }
-    }
-
     fn notify_request_pool(&mut self, ticket: Ticket, event: Event) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let pool = Rc::clone(&request.pool);
@@ -562,6 +481,7 @@
                         endpoint.zone,
                         endpoint.slots
                     );
+                    self.self_reports.join(process_id(&endpoint));
                     let pool = Rc::from(endpoint.pool.as_str());
                     let spec = self.endpoint_spec(&endpoint);
                     self.notify_pool(&pool, Event::EndpointJoined(key, spec));
