--- a/crates/decide/src/rate_share.rs
+++ b/crates/decide/src/rate_share.rs
@@ -33,7 +33,7 @@
     pub id: u32,
     /// Identifies its availability zone.
     pub zone: u32,
-    /// The requests per second that its callers send lately.
+    /// The requests per second that callers lately sent to it.
     pub demand_per_s: f64,
 }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -83,9 +83,9 @@
     pub zone_use: Vec<(u32, f64)>,
     /// What is known of prompt parts that may crash endpoints, also from other instances.
     pub crash_report: CrashReport,
-    /// What was heard lately of the rate limits of endpoints, also by other instances.
+    /// What is known of the rate limits of endpoints, also from other instances.
     pub rate_limits: Vec<RateLimitReport>,
-    /// The requests per second that the sender's callers send lately.
+    /// The requests per second that callers lately sent to this instance.
     pub demand_per_s: f32,
 }
 
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -50,7 +50,7 @@
     earlier_incarnation: Option<u64>,
     /// The hash of its availability zone; `None` before the first heartbeat.
     zone: Option<u32>,
-    /// The requests per second that its callers send lately.
+    /// The requests per second that callers lately sent to it.
     demand_per_s: f32,
     /// The time of the newest heartbeat; before the first one, the time at which the peer was
     /// added.
@@ -71,7 +71,7 @@
     incarnation: u64,
     counter: u64,
     is_leaving: bool,
-    /// The requests per second that the own callers send, as of the last heartbeat.
+    /// The requests per second that callers sent to this instance, as of its last heartbeat.
     demand_per_s: f32,
     /// Whether the list of registered instances has been received.
     knows_all_registered: bool,
