--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -304,6 +304,8 @@
 
 #[cfg(test)]
 mod tests {
+    use baobabvane_decide::ProcessId;
+
     use super::*;
 
     fn id(port: u16) -> PeerId {
@@ -446,4 +448,20 @@
         assert_eq!(b.random_peer_ahead_of(own(4), 0, 0.9), Some(id(1)));
         assert_eq!(b.random_peer_ahead_of(own(5), 0, 0.9), None);
     }
+
+    #[test]
+    fn rate_limits_are_divided_among_the_live_instances() {
+        let (mut a, mut b) = (roster(1), roster(2));
+        for roster in [&mut a, &mut b] {
+            roster.add_registered_peers(&[], 0);
+        }
+        let (from_a, from_b) = (heartbeat(&mut a, 0), heartbeat(&mut b, 0));
+        a.receive(&from_b, 0);
+        b.receive(&from_a, 0);
+        let part =
+            |roster: &Roster, now_ms| roster.senders(now_ms).share(ProcessId(1), 0, 4.0).per_s;
+        assert_eq!(part(&a, 500) + part(&b, 500), 4.0);
+        // A peer that falls silent may still send its part.
+        assert_eq!(part(&b, 2_000), 2.0);
+    }
 }
