gateway: instances are told apart by a hash of their address, not of its text

Cause: the list of senders is made ten times a second, and each made the text of every peer's address. Change: the hash is of the address.

--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -11,7 +11,7 @@
     ASSUMED_FLEET_SIZE, LocalState, PeerId,
     heartbeat::{Freshness, Heartbeat, StoreReader},
 };
-use crate::{knowledge::Versions, scheduler::id_hash};
+use crate::{knowledge::Versions, scheduler::peer_hash};
 
 /// The number of peers in the sender's availability zone that receive each heartbeat; they
 /// prefer the same endpoints as the sender. Peers are selected in rotation.
@@ -254,7 +254,7 @@
     /// Returns the live instances, among which the rate limits of endpoints are divided.
     pub(super) fn senders(&self, now_ms: u64) -> Senders {
         let sender = |id: &PeerId, zone, demand_per_s: f32| Sender {
-            id: id_hash(&id.to_string()),
+            id: peer_hash(*id),
             zone,
             demand_per_s: demand_per_s.into(),
         };
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -21,7 +21,9 @@
 use monoio::time::Instant;
 use rustc_hash::FxHashMap;
 
-pub(crate) use self::placement::{Grant, PlacementRequest, QuotaCharge, Refused, id_hash};
+pub(crate) use self::placement::{
+    Grant, PlacementRequest, QuotaCharge, Refused, id_hash, peer_hash,
+};
 use self::{
     demand::Demand,
     fleet::{FleetState, Standing},
--- a/crates/gateway/src/scheduler/placement.rs
+++ b/crates/gateway/src/scheduler/placement.rs
@@ -114,6 +114,11 @@
     short_hash(id)
 }
 
+/// Returns a 32-bit hash of an instance's address; all instances compute the same value.
+pub(crate) fn peer_hash(peer: SocketAddr) -> u32 {
+    short_hash(peer)
+}
+
 /// Returns the id of the endpoint's process; all instances compute the same one.
 pub(crate) fn process_id(endpoint: &DiscoveredEndpoint) -> ProcessId {
     ProcessId(short_hash((endpoint.id.as_str(), endpoint.started_ms)))
