review: a flood of interim responses hangs the gateway

One endpoint sends informational responses without end in place of an answer. The loop that skips them has no limit and never yields, so the process's only thread does nothing else.

--- /dev/null
+++ b/review/harness/src/platform.rs
@@ -0,0 +1,283 @@
+//! Stand-ins for the platform: its store, the settings of a small deployment, and the processes
+//! of the system, which are started with the command of `deploy/system.toml`.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{Arc, Condvar, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::http::Conn;
+
+/// `limits.memoryLimitMb` of the small deployments (`sites/dgala-ledger.toml`).
+pub const MEMORY_LIMIT_MB: u64 = 110;
+pub const GRACE_PERIOD: Duration = Duration::from_secs(8);
+
+/// The platform's store: logs of keyed records.
+#[derive(Clone, Default)]
+pub struct Store {
+    topics: Arc<(Mutex<BTreeMap<String, Vec<Vec<u8>>>>, Condvar)>,
+}
+
+impl Store {
+    /// Starts the store on a free port and returns its address.
+    pub fn serve(&self) -> SocketAddr {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        let store = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = store.clone();
+                thread::spawn(move || store.serve_connection(Conn::new(stream)));
+            }
+        });
+        address
+    }
+
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value.as_bytes());
+        self.topics.0.lock().unwrap().entry(topic.to_owned()).or_default().push(record);
+        self.topics.1.notify_all();
+    }
+
+    fn serve_connection(&self, mut conn: Conn) {
+        while let Ok(Some(request)) = conn.read() {
+            let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+            let value = |name: &str| {
+                let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+                pairs.find(|(n, _)| *n == name).map(|(_, v)| v.to_owned())
+            };
+            let number = |name: &str| value(name).and_then(|v| v.parse::<usize>().ok());
+            let topic = value("topicName").unwrap_or_default();
+            let (status, body) = match path {
+                "/log-newest" => (200, self.newest(&topic)),
+                "/log-append" => self.append(&topic, number("at"), &request.body),
+                "/log-read" => self.read(
+                    &topic,
+                    number("from").unwrap_or(0),
+                    Duration::from_millis(number("waitTimeoutMs").unwrap_or(0) as u64),
+                ),
+                _ => (404, b"{}".to_vec()),
+            };
+            if conn.write_answer(status, &[("Store-Era", "0")], &body).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn newest(&self, topic: &str) -> Vec<u8> {
+        let mut topics = self.topics.0.lock().unwrap();
+        let records = topics.entry(topic.to_owned()).or_default();
+        let mut newest: BTreeMap<String, (Vec<u8>, usize)> = BTreeMap::new();
+        for (offset, record) in records.iter().enumerate() {
+            let (key, value) = record[1..].split_at(usize::from(record[0]));
+            let key = String::from_utf8_lossy(key).into_owned();
+            newest.insert(key, (value.to_vec(), offset));
+        }
+        let entries: Vec<String> = newest
+            .iter()
+            .filter(|(_, (value, _))| !value.is_empty())
+            .map(|(key, (value, offset))| {
+                format!(r#"{{"key":"{key}","value":"{}","logOffset":{offset}}}"#, base64(value))
+            })
+            .collect();
+        let end = records.len();
+        format!(r#"{{"entries":[{}],"hasMore":false,"endOffset":{end}}}"#, entries.join(","))
+            .into_bytes()
+    }
+
+    fn append(&self, topic: &str, at: Option<usize>, mut body: &[u8]) -> (u16, Vec<u8>) {
+        let mut topics = self.topics.0.lock().unwrap();
+        let records = topics.entry(topic.to_owned()).or_default();
+        let first = records.len();
+        if at.is_some_and(|at| at != first) {
+            return (412, format!(r#"{{"endOffset":{first}}}"#).into_bytes());
+        }
+        while let Some((len, rest)) = body.split_first_chunk::<4>() {
+            let (record, rest) = rest.split_at(u32::from_be_bytes(*len) as usize);
+            records.push(record.to_vec());
+            body = rest;
+        }
+        let end = records.len();
+        self.topics.1.notify_all();
+        (200, format!(r#"{{"logOffset":{first},"endOffset":{end}}}"#).into_bytes())
+    }
+
+    fn read(&self, topic: &str, from: usize, wait: Duration) -> (u16, Vec<u8>) {
+        let deadline = Instant::now() + wait;
+        let mut topics = self.topics.0.lock().unwrap();
+        loop {
+            let records = topics.entry(topic.to_owned()).or_default();
+            if from > records.len() {
+                return (410, br#"{"startOffset":0}"#.to_vec());
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if records.len() > from || left.is_zero() {
+                let mut body = (records.len() as u64).to_be_bytes().to_vec();
+                body.extend_from_slice(&0_u64.to_be_bytes());
+                for record in &records[from..] {
+                    body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+                    body.extend_from_slice(record);
+                }
+                return (200, body);
+            }
+            topics = self.topics.1.wait_timeout(topics, left).unwrap().0;
+        }
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for piece in bytes.chunks(3) {
+        let all = piece.iter().fold(0_u32, |all, b| all << 8 | u32::from(*b))
+            << (8 * (3 - piece.len()) as u32);
+        for i in 0..4 {
+            let digit = DIGITS[(all >> (18 - 6 * i) & 63) as usize];
+            text.push(if i <= piece.len() { char::from(digit) } else { '=' });
+        }
+    }
+    text
+}
+
+/// A machine of the system with its one process.
+pub struct Machine {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Machine {
+    /// Starts the process of machine `number`, whose settings go to `folder`.
+    pub fn start(folder: &Path, number: u8, store: SocketAddr, zones: &[&str]) -> Self {
+        // An own loopback address for each machine, since the deploy file names a fixed port for
+        // metrics.
+        let id = std::process::id();
+        let ip = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 128, id as u8, 10 + number);
+        let ports: Vec<u16> = (0..4)
+            .map(|_| TcpListener::bind((ip, 0)).expect("a port is free"))
+            .collect::<Vec<_>>()
+            .iter()
+            .map(|listener| listener.local_addr().expect("the socket is bound").port())
+            .collect();
+        let (callers, ready) = (SocketAddr::from((ip, ports[0])), SocketAddr::from((ip, ports[1])));
+        let zone = zones[usize::from(number) % zones.len()];
+        let zone_lines: String =
+            zones.iter().map(|zone| format!("zones.{zone}=nile-delta\n")).collect();
+        let text = format!(
+            "nodeName=edge-{number}\nrole=entry\nmachineClass=edge\n\
+             servedRoles=edge,control_plane\nipAddress={ip}\navailabilityZone={zone}\n\
+             region=nile-delta\n{zone_lines}listenAddresses.frontend={callers}\n\
+             listenAddresses.ready={ready}\nlistenAddresses.controlPlane={ip}:{}\n\
+             internalPortRange={},{}\nseedNodes=\nbootstrap=true\nfailureCounted=false\n\
+             limits.cpuFraction=0.25\nlimits.cpuCores=1\nlimits.memoryLimitMb={MEMORY_LIMIT_MB}\n\
+             limits.fileDescriptors=4100\nlimits.bandwidthMbps=1000.0\nlimits.diskCapacityMb=0\n\
+             discoverySource=platform\nentryKind=virtual_ip\nheartbeatIntervalMs=1200\n\
+             activeContracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota,platform\n\
+             faultTolerance.machineFailures=1\nfaultTolerance.zones=1\n\
+             faultTolerance.regionFailures=0\ncontractBounds.seedStalenessS=3\n\
+             contractBounds.addressReuseS=2\ncontractBounds.connectivityMs=3000\n\
+             contractBounds.ackTimeoutMs=4000\ncontractBounds.catchUpS=4\n\
+             contractBounds.drainTimeoutMs=2000\ncontractBounds.gracePeriodS=8\n\
+             contractBounds.lossSlackMs=200\ncontractBounds.configApplyMs=2000\n\
+             contractBounds.downgradeSlackMs=250\ncontractBounds.boundExtensionMs=5000\n\
+             contractBounds.strictRevocation=false\ncontractBounds.revocationMs=5000\n\
+             contractBounds.retryBudgetRatio=0.2\ncontractBounds.retryWindowS=10\n\
+             contractBounds.retryAllowance=52\ncontractBounds.quotaIntervalS=8\n\
+             contractBounds.quotaOvershoot=0.1\ncontractBounds.quotaTolerance=140000\n\
+             contractBounds.recoveryS=12\ncontractBounds.deliveryDelayMs=120\n\
+             contractBounds.reuseWindowS=9\nplatform.address={store}\nplatform.form=log\n\
+             platform.writesPerS=400\nplatform.readsPerS=2000\nplatform.parts=12\n\
+             platform.appendLatencyMs=2.0\nplatform.partitionMbS=20.0\nplatform.readMbS=80.0\n\
+             platform.maxRecordBytes=262144\nplatform.maxRequestBytes=2097152\n\
+             platform.keep_s=300\nplatform.partitionSizeMb=200\nplatform.minTtlMs=1000\n",
+            ports[2], ports[3], ports[3]
+        );
+        let settings = folder.join(format!("edge-{number}.conf"));
+        fs::write(&settings, text).expect("the folder can be written");
+        let log = folder.join(format!("edge-{number}.log"));
+        let child = start_process(&settings, &log);
+        Self { callers, ready, settings, log, child }
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Kills the process and starts it again after the platform's short delay.
+    pub fn kill_and_restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        thread::sleep(Duration::from_millis(500));
+        self.child = start_process(&self.settings, &self.log);
+    }
+
+    /// Returns a field of the process's status in KiB, such as `VmRSS`.
+    pub fn memory_kib(&self, field: &str) -> u64 {
+        memory_kib(self.child.id(), field)
+    }
+
+    /// Returns the status of a readiness probe, or 0 if it got no answer within a second.
+    pub fn probe(&self) -> u16 {
+        probe(self.ready)
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a field of a process's status in KiB; 0 if the process is gone.
+pub fn memory_kib(pid: u32, field: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(&format!("{field}:")));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the status of a readiness probe, or 0 if it got no answer within a second.
+pub fn probe(ready: SocketAddr) -> u16 {
+    let ask = || -> std::io::Result<u16> {
+        let stream = TcpStream::connect_timeout(&ready, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        let mut conn = Conn::new(stream);
+        std::io::Write::write_all(
+            &mut conn.stream,
+            b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n",
+        )?;
+        Ok(conn.read()?.map_or(0, |answer| answer.status()))
+    };
+    ask().unwrap_or(0)
+}
+
+fn start_process(settings: &Path, log: &Path) -> Child {
+    let out = fs::OpenOptions::new().create(true).append(true).open(log);
+    // The command and the variable of `deploy/system.toml`, and the settings file's path.
+    Command::new("target/release/baobabvane")
+        .arg("gateway")
+        .env_clear()
+        .env("PATH", std::env::var("PATH").unwrap_or_default())
+        .env("BAOBABVANE_SETTINGS", settings)
+        .env("BAOBABVANE_METRICS_PORT", "9464")
+        .stdin(Stdio::null())
+        .stdout(out.expect("the folder can be written"))
+        .spawn()
+        .expect("the build of the deploy file has made the program")
+}
