review: instances that begin to read the store late never catch up

After the two instances that follow the store have left, the others read the configuration topic from the position of their start, reject the answer for its size and repeat the call: a dropped route stays in force on the whole fleet. The stand-in of the store keeps 20 s of history.

--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -45,6 +45,8 @@
     pub deadline: Duration,
     pub headers: &'a str,
     pub body: &'a [u8],
+    /// For how long it sends the body.
+    pub body_time: Duration,
 }
 
 impl Client {
@@ -67,7 +69,7 @@
     }
 
     fn exchange(&mut self, send: &Send, deadline: Instant) -> End {
-        let Send { method, path, id, headers, body, .. } = send;
+        let Send { method, path, id, headers, body, body_time, .. } = send;
         let mut conn = match self.conn.take() {
             Some(conn) => conn,
             // Clients allow a new connection one second.
@@ -85,14 +87,20 @@
             body.len()
         )
         .into_bytes();
-        bytes.extend_from_slice(body);
+        if body_time.is_zero() {
+            bytes.extend_from_slice(body);
+        }
         self.record.line(&format!("sent id={id} {method} {path} machine={}", self.machine));
         let _ = conn.stream.set_write_timeout(Some(left.max(Duration::from_millis(1))));
         if conn.stream.write_all(&bytes).is_err() {
             return End::NotSent;
         }
-        let left = deadline.saturating_duration_since(Instant::now());
-        let _ = conn.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))));
+        if !body_time.is_zero()
+            && crate::upload::write_paced(&mut conn.stream, body, *body_time).is_err()
+        {
+            return End::NotSent;
+        }
+        conn.deadline = Some(deadline);
         match conn.read() {
             Ok(Some(answer)) => {
                 let closes = answer.header("connection").is_some_and(|v| v == "close");
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -121,14 +121,18 @@
     conn.write_answer(200, &headers, format!("answer {id}").as_bytes()).is_ok()
 }
 
+/// Returns the head of an answer that is a stream of events, in chunks.
+pub fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Baobabvane-Attempt-Id: {id}\r\n\
+         X-Baobabvane-Response-Signature: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
 /// Answers with a stream of five events, the engine's signature and the attempt's id.
 pub fn stream(request: &Message, conn: &mut Conn) -> bool {
     let id = attempt(request);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Baobabvane-Attempt-Id: {id}\r\n\
-         X-Baobabvane-Response-Signature: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    let mut is_open = conn.stream.write_all(head.as_bytes()).is_ok();
+    let mut is_open = conn.stream.write_all(stream_head(&id).as_bytes()).is_ok();
     for number in 1..=5 {
         thread::sleep(Duration::from_millis(20));
         let event = format!("id: {number}\ndata: {id}\n\n");
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    time::{Duration, Instant},
 };
 
 /// A message head with its body, as far as it was read.
@@ -32,15 +33,24 @@
 pub struct Conn {
     pub stream: TcpStream,
     buf: Vec<u8>,
+    /// When reads give up.
+    pub deadline: Option<Instant>,
 }
 
 impl Conn {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self { stream, buf: Vec::new(), deadline: None }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
+        if let Some(deadline) = self.deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            self.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+            if left.is_zero() {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+        }
         let mut piece = [0; 16 * 1024];
         let len = self.stream.read(&mut piece)?;
         self.buf.extend_from_slice(&piece[..len]);
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -5,11 +5,14 @@
 mod client;
 mod engine;
 mod flood;
+mod history;
 mod http;
 mod platform;
 mod record;
 mod site;
 mod stop;
+mod traffic;
+mod upload;
 
 use std::{path::Path, process::ExitCode};
 
@@ -34,6 +37,9 @@
     let verdict = match case.as_str() {
         "empty-lines" => flood::play(&record, has_trouble, flood::Kind::EmptyLines),
         "interim-responses" => flood::play(&record, has_trouble, flood::Kind::InterimResponses),
+        "lines-in-body" => flood::play(&record, has_trouble, flood::Kind::LinesInBody),
+        "upload-burst" => upload::play(&record, has_trouble),
+        "config-history" => history::play(&record, has_trouble),
         "stop-with-queue" => stop::play(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/harness/src/platform.rs
+++ b/review/harness/src/platform.rs
@@ -18,10 +18,21 @@
 pub const MEMORY_LIMIT_MB: u64 = 110;
 pub const GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// How long a record can be read by its offset; the sheet of the small sites says 20 s. The
+/// newest record of each key is kept.
+const HISTORY: Duration = Duration::from_secs(20);
+/// `readMbS` of the settings.
+const READ_BYTES_PER_S: f64 = 80e6;
+/// `fetchLimit` of a call that names none.
+const FETCH_LIMIT: usize = 1_024;
+
+/// A record, which begins with the length of its key, and when it was written.
+type StoredRecord = (Instant, Vec<u8>);
+
 /// The platform's store: logs of keyed records.
 #[derive(Clone, Default)]
 pub struct Store {
-    topics: Arc<(Mutex<BTreeMap<String, Vec<Vec<u8>>>>, Condvar)>,
+    topics: Arc<(Mutex<BTreeMap<String, Vec<StoredRecord>>>, Condvar)>,
 }
 
 impl Store {
@@ -43,10 +54,18 @@
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value.as_bytes());
+        let record = (Instant::now(), record);
         self.topics.0.lock().unwrap().entry(topic.to_owned()).or_default().push(record);
         self.topics.1.notify_all();
     }
 
+    /// Returns the size of the records of a topic that can still be read.
+    pub fn topic_bytes(&self, topic: &str) -> usize {
+        let topics = self.topics.0.lock().unwrap();
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        records[first_kept(records)..].iter().map(|(_, record)| record.len()).sum()
+    }
+
     fn serve_connection(&self, mut conn: Conn) {
         while let Ok(Some(request)) = conn.read() {
             let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
@@ -76,7 +95,7 @@
         let mut topics = self.topics.0.lock().unwrap();
         let records = topics.entry(topic.to_owned()).or_default();
         let mut newest: BTreeMap<String, (Vec<u8>, usize)> = BTreeMap::new();
-        for (offset, record) in records.iter().enumerate() {
+        for (offset, (_, record)) in records.iter().enumerate() {
             let (key, value) = record[1..].split_at(usize::from(record[0]));
             let key = String::from_utf8_lossy(key).into_owned();
             newest.insert(key, (value.to_vec(), offset));
@@ -102,7 +121,7 @@
         }
         while let Some((len, rest)) = body.split_first_chunk::<4>() {
             let (record, rest) = rest.split_at(u32::from_be_bytes(*len) as usize);
-            records.push(record.to_vec());
+            records.push((Instant::now(), record.to_vec()));
             body = rest;
         }
         let end = records.len();
@@ -115,17 +134,20 @@
         let mut topics = self.topics.0.lock().unwrap();
         loop {
             let records = topics.entry(topic.to_owned()).or_default();
-            if from > records.len() {
-                return (410, br#"{"startOffset":0}"#.to_vec());
+            let start = first_kept(records);
+            if from < start || from > records.len() {
+                return (410, format!(r#"{{"startOffset":{start}}}"#).into_bytes());
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if records.len() > from || left.is_zero() {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
-                body.extend_from_slice(&0_u64.to_be_bytes());
-                for record in &records[from..] {
+                body.extend_from_slice(&(start as u64).to_be_bytes());
+                for (_, record) in records[from..].iter().take(FETCH_LIMIT) {
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
                 }
+                drop(topics);
+                thread::sleep(Duration::from_secs_f64(body.len() as f64 / READ_BYTES_PER_S));
                 return (200, body);
             }
             topics = self.topics.1.wait_timeout(topics, left).unwrap().0;
@@ -133,6 +155,11 @@
     }
 }
 
+/// Returns the offset of the oldest record that can still be read.
+fn first_kept(records: &[StoredRecord]) -> usize {
+    records.iter().take_while(|(written_at, _)| written_at.elapsed() > HISTORY).count()
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -18,12 +18,15 @@
 /// A running small deployment. All its processes end when it is dropped.
 pub struct Site {
     pub machines: Vec<Machine>,
+    pub store: Store,
+    services: Vec<String>,
     folder: PathBuf,
 }
 
 /// A route of the configuration.
+#[derive(Clone)]
 pub struct Route {
-    pub prefix: &'static str,
+    pub prefix: std::borrow::Cow<'static, str>,
     pub kind: &'static str,
     pub timeout_ms: u64,
     pub target_ms: u64,
@@ -53,31 +56,16 @@
         let folder = std::env::temp_dir().join(format!("review-case-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let store = Store::default();
-        let mut services: Vec<&str> = engines.iter().map(|e| e.service.as_str()).collect();
+        let mut services: Vec<String> = engines.iter().map(|e| e.service.clone()).collect();
         services.dedup();
-        let services: Vec<String> = services
-            .iter()
-            .map(|name| {
-                format!(r#"{{"name":"{name}","healthCheckPath":"/healthz","connectionLimit":360}}"#)
-            })
-            .collect();
-        let routes: Vec<String> = routes.iter().map(Route::document).collect();
-        store.put(
-            "keyed.op",
-            "config",
-            &format!(
-                r#"{{"version":7,"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"growers","apiKeys":["k1"]}}]}}"#,
-                routes.join(","),
-                services.join(",")
-            ),
-        );
+        store.put("keyed.op", "config", &configuration(7, routes, &services));
         for engine in engines {
             store.put("keyed.servers", &engine.id, &engine.entry());
         }
         let address = store.serve();
         let machines: Vec<Machine> =
             (0..machines).map(|i| Machine::start(&folder, i, address, &ZONES)).collect();
-        let site = Self { machines, folder };
+        let site = Self { machines, store, services, folder };
         let begun = Instant::now();
         while !site.machines.iter().all(|m| m.probe() == 200) {
             if begun.elapsed() > Duration::from_secs(15) {
@@ -93,6 +81,29 @@
     }
 }
 
+impl Site {
+    /// Writes a new version of the configuration, as the operator does.
+    pub fn configure(&self, version: u64, routes: &[Route]) {
+        self.store.put("keyed.op", "config", &configuration(version, routes, &self.services));
+    }
+}
+
+/// Returns a configuration in full.
+pub fn configuration(version: u64, routes: &[Route], services: &[String]) -> String {
+    let services: Vec<String> = services
+        .iter()
+        .map(|name| {
+            format!(r#"{{"name":"{name}","healthCheckPath":"/healthz","connectionLimit":360}}"#)
+        })
+        .collect();
+    let routes: Vec<String> = routes.iter().map(Route::document).collect();
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"growers","apiKeys":["k1"]}}]}}"#,
+        routes.join(","),
+        services.join(",")
+    )
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         self.machines.clear();
--- a/review/harness/src/stop.rs
+++ b/review/harness/src/stop.rs
@@ -40,7 +40,7 @@
         })
         .collect();
     let route = Route {
-        prefix: "/review/",
+        prefix: std::borrow::Cow::Borrowed("/review/"),
         kind: "non_idempotent",
         timeout_ms: DEADLINE.as_millis() as u64,
         target_ms: 800,
@@ -70,6 +70,7 @@
                     deadline: DEADLINE,
                     headers: "",
                     body: b"",
+                    body_time: Duration::ZERO,
                 });
                 attempts.lock().unwrap().push((machine, attempt));
             }));
