review: an answer that breaks off into empty lines looks complete

Case 5, in place of the one with large bodies, whose play stays among the stand-ins (upload-burst). Where a chunk is due, the decoder takes two empty lines for the end of the body, and the caller gets a part of an answer as the whole one.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/baobabvane target/review/release/review-case; do
     [ -x "$program" ] || { echo "$program has not been built"; exit 2; }
 done
-exec target/review/release/review-case upload-burst review/5/record.txt
+exec target/review/release/review-case false-end review/5/record.txt
--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -29,6 +29,8 @@
     pub ended_at: Instant,
     pub end: End,
     pub is_on_kept_connection: bool,
+    /// The body of a complete answer.
+    pub body: Vec<u8>,
 }
 
 pub struct Client {
@@ -58,24 +60,24 @@
     pub fn send(&mut self, send: &Send) -> Attempt {
         let sent_at = Instant::now();
         let is_on_kept_connection = self.conn.is_some();
-        let end = self.exchange(send, sent_at + send.deadline);
+        let (end, body) = self.exchange(send, sent_at + send.deadline);
         let ended_at = Instant::now();
         let ms = (ended_at - sent_at).as_millis();
         self.record.line(&format!(
             "attempt id={} machine={} kept={is_on_kept_connection} end={end:?} ms={ms}",
             send.id, self.machine
         ));
-        Attempt { id: send.id.to_owned(), sent_at, ended_at, end, is_on_kept_connection }
+        Attempt { id: send.id.to_owned(), sent_at, ended_at, end, is_on_kept_connection, body }
     }
 
-    fn exchange(&mut self, send: &Send, deadline: Instant) -> End {
+    fn exchange(&mut self, send: &Send, deadline: Instant) -> (End, Vec<u8>) {
         let Send { method, path, id, headers, body, body_time, .. } = send;
         let mut conn = match self.conn.take() {
             Some(conn) => conn,
             // Clients allow a new connection one second.
             None => match TcpStream::connect_timeout(&self.machine, Duration::from_secs(1)) {
                 Ok(stream) => Conn::new(stream),
-                Err(_) => return End::NotSent,
+                Err(_) => return (End::NotSent, Vec::new()),
             },
         };
         let left = deadline.saturating_duration_since(Instant::now());
@@ -93,12 +95,12 @@
         self.record.line(&format!("sent id={id} {method} {path} machine={}", self.machine));
         let _ = conn.stream.set_write_timeout(Some(left.max(Duration::from_millis(1))));
         if conn.stream.write_all(&bytes).is_err() {
-            return End::NotSent;
+            return (End::NotSent, Vec::new());
         }
         if !body_time.is_zero()
             && crate::upload::write_paced(&mut conn.stream, body, *body_time).is_err()
         {
-            return End::NotSent;
+            return (End::NotSent, Vec::new());
         }
         conn.deadline = Some(deadline);
         match conn.read() {
@@ -107,13 +109,13 @@
                 if !closes {
                     self.conn = Some(conn);
                 }
-                End::Answer(answer.status())
+                (End::Answer(answer.status()), answer.body)
             }
-            Ok(None) => End::Closed,
+            Ok(None) => (End::Closed, Vec::new()),
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                End::Deadline
+                (End::Deadline, Vec::new())
             }
-            Err(_) => End::Closed,
+            Err(_) => (End::Closed, Vec::new()),
         }
     }
 }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod engine;
+mod false_end;
 mod flood;
 mod history;
 mod http;
@@ -40,6 +41,7 @@
         "lines-in-body" => flood::play(&record, has_trouble, flood::Kind::LinesInBody),
         "upload-burst" => upload::play(&record, has_trouble),
         "config-history" => history::play(&record, has_trouble),
+        "false-end" => false_end::play(&record, has_trouble),
         "stop-with-queue" => stop::play(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
