--- a/review/harness/src/stop.rs
+++ b/review/harness/src/stop.rs
@@ -25,6 +25,7 @@
 const LONG_WORK: Duration = Duration::from_millis(12_500);
 const SHORT_WORK: Duration = Duration::from_millis(100);
 const DEADLINE: Duration = Duration::from_millis(15_000);
+/// Between two requests, so that they wait in the order in which they are sent.
 const JOB_INTERVAL: Duration = Duration::from_millis(60);
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
@@ -40,7 +41,7 @@
         })
         .collect();
     let route = Route {
-        prefix: std::borrow::Cow::Borrowed("/review/"),
+        prefix: "/review/".into(),
         kind: "non_idempotent",
         timeout_ms: DEADLINE.as_millis() as u64,
         target_ms: 800,
@@ -59,7 +60,6 @@
             let machine = site.machines[0].callers;
             let (attempts, record) = (Arc::clone(&attempts), record.clone());
             let id = format!("{name}-{i}");
-            // The machines learn of each other's load meanwhile.
             thread::sleep(JOB_INTERVAL);
             clients.push(thread::spawn(move || {
                 let mut client = Client::new(machine, &record);
