wire: bytes between chunks never end an answer

Callers saw: status 200 with the endpoint's signature and a proper end, but a part of the body (72 of 216 bytes), where an endpoint broke off a chunked answer and went on with empty lines.

Cause: the chunk decoder of monoio-http, which ChunkedDecoder wrapped, takes an empty line for the size 0, so that two empty lines are the end of the body. The same decoder serves bodies of callers, answers of the store and the streams of the daemon.

Change: a decoder of our own (crates/wire/src/chunked.rs) accepts chunks and nothing else: one to sixteen digits and CRLF, the data, CRLF.

Test: streams::an_answer_that_goes_on_without_chunks_never_looks_complete failed before (status 200 in place of 502), passes now.

--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -42,6 +42,9 @@
     DrippedEvents(u64),
     /// Sends the events up to this number, then one event without end.
     EndlessEvent(u64),
+    /// Sends two events as chunks, then this text again and again in place of the next chunk, until
+    /// the gateway closes the connection; on streaming routes as a stream, on others as plain text.
+    NoChunksAfterEvents(&'static str),
     /// Sends header lines without end.
     EndlessHead,
     /// Sends a chunked body without end.
@@ -235,6 +238,14 @@
                 let chunk = format!("{:x}\r\n{}\r\n", FLOOD.len(), FLOOD);
                 self.write_until_cancelled(stream, &chunk, Duration::ZERO).await
             }
+            Script::NoChunksAfterEvents(text) => {
+                let mut answer = event_stream(&id, 0, 2);
+                if request.request_line.contains(" /postings/") {
+                    answer = answer.replace("text/event-stream", "text/plain");
+                }
+                write(stream, answer).await;
+                self.write_until_cancelled(stream, text, DRIP_INTERVAL).await
+            }
             Script::EndlessHead => {
                 write(stream, "HTTP/1.1 200 OK\r\n".to_owned()).await;
                 let line = format!("x-flood: {FLOOD}\r\n");
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -210,3 +210,20 @@
         }
     });
 }
+
+/// Guards against bytes between chunks that pass for the end of the body, so that a caller takes a
+/// part of an answer for all of it.
+#[test]
+fn an_answer_that_goes_on_without_chunks_never_looks_complete() {
+    block_on(async {
+        for text in ["\r\n", "\n", "\r", ";\r\n", "0", "-0\r\n\r\n", "\0"] {
+            let scripts = [Script::NoChunksAfterEvents(text)];
+            let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+            let gateway = GatewayFixture::start(&[&endpoint]).await;
+            assert_eq!(gateway.post("/postings/").await.status, 502, "{text:?}");
+            let stream = request_stream(&gateway, "/quotes/").await;
+            assert_eq!(stream, (events(1, 2), false), "{text:?}");
+            eventually(|| endpoint.cancelled_requests() == 2).await;
+        }
+    });
+}
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     WireError,
-    decode::{ChunkedDecoder, CloseDelimitedDecoder, Framing, LengthDecoder},
+    chunked::ChunkedDecoder,
+    decode::{CloseDelimitedDecoder, Framing, LengthDecoder},
 };
 
 /// Reads the rest of a message body.
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Version, header};
 use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, DecodeError};
+use monoio_http::h1::codec::decoder::DecodeError;
 
 use crate::WireError;
 
@@ -159,41 +159,6 @@
     }
 }
 
-/// Decodes chunked transfer encoding with a bounded chunk size.
-pub(crate) struct ChunkedDecoder {
-    inner: ChunkedBodyDecoder,
-    max_chunk_bytes: usize,
-}
-
-/// Extra bytes allowed in the buffer for the line that states a chunk's size.
-const MAX_CHUNK_SIZE_LINE_BYTES: usize = 32;
-
-impl ChunkedDecoder {
-    pub(crate) fn new(max_chunk_bytes: usize) -> Self {
-        Self { inner: ChunkedBodyDecoder::default(), max_chunk_bytes }
-    }
-}
-
-impl Decoder for ChunkedDecoder {
-    type Item = Option<Bytes>;
-    type Error = WireError;
-
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Option<Bytes>>, WireError> {
-        let buffered_bytes = src.len();
-        match self.inner.decode(src)? {
-            Decoded::Some(chunk) => Ok(Decoded::Some(chunk)),
-            _ if buffered_bytes > self.max_chunk_bytes + MAX_CHUNK_SIZE_LINE_BYTES => {
-                Err(WireError::BodyTooLarge { limit: self.max_chunk_bytes })
-            }
-            other => Ok(other),
-        }
-    }
-
-    fn decode_eof(&mut self, _: &mut BytesMut) -> Result<Decoded<Option<Bytes>>, WireError> {
-        Err(WireError::UnexpectedEof)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use http::HeaderValue;
@@ -224,12 +189,4 @@
             parse_framing(Version::HTTP_10, &headers(&[("transfer-encoding", "chunked")])).is_err()
         );
     }
-
-    #[test]
-    fn a_chunk_over_the_limit_is_rejected_before_it_has_arrived() {
-        let mut src = BytesMut::from("fffff\r\n");
-        src.extend_from_slice(&[b'x'; 64]);
-        let err = ChunkedDecoder::new(16).decode(&mut src).unwrap_err();
-        assert_eq!(err.to_string(), "body is over 16 bytes");
-    }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 server and client connections on `monoio`.
 //!
-//! Heads and chunks are decoded by `monoio-http`. This crate adds size limits,
-//! timeouts, strict framing, and an encoder that sends each chunk immediately.
+//! Heads are decoded by `monoio-http`. This crate adds size limits, timeouts, strict framing, a
+//! decoder for chunks, and an encoder that sends each chunk immediately.
 //! See [the wire](../../../docs/wire.md).
 //!
 //! [`ServerConn`] reads whole requests and writes whole or streamed responses.
@@ -9,6 +9,7 @@
 //! another request, and returns the response body incrementally.
 
 mod body;
+mod chunked;
 mod client;
 mod decode;
 mod encode;
