wire: informational responses are bounded, and foreign input is read in turns

Callers saw: no answer, neither at the route's timeout nor later, of any request at the instance, until the process was killed.

Cause: ClientConn::read_head skips informational responses in a loop without a limit. The executor has one thread; a read that finds data never suspends its task, so an endpoint that sends without a pause kept the loop running, and no timer, no other task and not the stop signal had a turn.

Change: a response has at most 16 informational ones before it, and a switch of protocols that nobody asked for is no response. Below that, one place bounds the time that input may take on the executor: baobabvane_tasks::Turn. Each connection is read through it (wire/src/paced.rs), and pieces of buffered bytes count as well; after 64 KiB the task pauses until the next tick of the timers. Waking the task at once would not do: monoio fires timers only when no task is ready (Runtime::block_on calls Driver::submit, not park, while one is); the test of turn.rs hangs with such a wake-up.

--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -101,6 +101,8 @@
 
 /// The pause between two bytes of an endpoint that drips.
 const DRIP_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a [`Flood`] lasts if the gateway does not close the connection.
+const MAX_FLOOD_TIME: Duration = Duration::from_secs(4);
 /// How often an endpoint looks whether it has crashed.
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The time until an endpoint crashes on a part of a prompt.
@@ -443,3 +445,70 @@
     let body = bytes.get(end + 4..end + 4 + len)?.to_vec();
     Some(ReceivedRequest { request_line, headers, body })
 }
+
+/// An endpoint on a thread of its own that sends bytes without end and without a pause, faster than
+/// the gateway reads them.
+pub(crate) struct Flood {
+    pub(crate) entry: DiscoveredEndpoint,
+    outcome: std::sync::mpsc::Receiver<FloodOutcome>,
+}
+
+/// How the flood that answered one request ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FloodOutcome {
+    /// Whether the gateway closed the connection before the endpoint did.
+    pub(crate) was_closed: bool,
+    /// The bytes that were written.
+    pub(crate) bytes: usize,
+}
+
+impl Flood {
+    /// Starts an endpoint that answers each request with `start`, in which `{id}` stands for the
+    /// request's id, and then with `repeated`, again and again.
+    pub(crate) fn spawn(id: &str, pool: &str, start: &str, repeated: &[u8]) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let (tx, outcome) = std::sync::mpsc::channel();
+        let start = start.to_owned();
+        let repeats = (64 * 1024 / repeated.len()).max(1);
+        let repeated = repeated.repeat(repeats);
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let Some(outcome) = flood(stream, &start, &repeated) else { continue };
+                if tx.send(outcome).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { entry: discovered_endpoint(id, pool, address), outcome }
+    }
+
+    /// Returns how the last answer ended, once it has.
+    pub(crate) fn outcome(&self) -> Option<FloodOutcome> {
+        self.outcome.try_recv().ok()
+    }
+}
+
+/// Reads a request and floods its connection; `None` if no request comes.
+fn flood(mut stream: std::net::TcpStream, start: &str, repeated: &[u8]) -> Option<FloodOutcome> {
+    use std::io::{Read, Write};
+
+    let mut bytes = Vec::new();
+    let request = loop {
+        if let Some(request) = parse_request(&bytes) {
+            break request;
+        }
+        let mut buf = [0; 4096];
+        let len = stream.read(&mut buf).ok().filter(|len| *len > 0)?;
+        bytes.extend_from_slice(&buf[..len]);
+    };
+    let id = request.header("baobabvane-request-id").unwrap_or("-");
+    let started_at = std::time::Instant::now();
+    let mut was_closed = stream.write_all(start.replace("{id}", id).as_bytes()).is_err();
+    let mut written = 0;
+    while !was_closed && started_at.elapsed() < MAX_FLOOD_TIME {
+        was_closed = stream.write_all(repeated).is_err();
+        written += repeated.len();
+    }
+    Some(FloodOutcome { was_closed, bytes: written })
+}
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -140,7 +140,10 @@
     }
 
     pub(crate) fn list_endpoints(&self, endpoints: &[&Endpoint]) {
-        let list: Vec<DiscoveredEndpoint> = endpoints.iter().map(|e| e.entry.clone()).collect();
+        self.list_entries(endpoints.iter().map(|e| e.entry.clone()).collect());
+    }
+
+    pub(crate) fn list_entries(&self, list: Vec<DiscoveredEndpoint>) {
         self.feed.endpoints_listed(list, LogPosition { era: 0, offset: 1 });
     }
 
--- /dev/null
+++ b/crates/gateway/tests/testsuite/floods.rs
@@ -0,0 +1,68 @@
+//! Tests of endpoints that send bytes without end: each answer is bounded in bytes and in time, and
+//! other requests are served meanwhile.
+
+use std::time::Duration;
+
+use baobabvane_gateway::{Configuration, Semantics, Target};
+use monoio::time::{sleep, timeout};
+
+use crate::{
+    endpoint::{Endpoint, Flood, FloodOutcome, Script},
+    fixture::{GatewayFixture, MAX_ENDLESS_BYTES, block_on, route},
+};
+
+/// How long a request may take that has nothing to do with the flood.
+const SOUND_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Starts a gateway whose pool `flood` has the flooding endpoint, and `desk` a sound one.
+async fn start_gateway(flood: &Flood, sound: &Endpoint) -> GatewayFixture {
+    let routes = [
+        ("postings", Semantics::NonIdempotent, "flood"),
+        ("quotes", Semantics::Stream, "flood"),
+        ("reads", Semantics::NonIdempotent, "desk"),
+    ];
+    let routes = routes.map(|(name, semantics, pool)| {
+        let mut route = route(name, semantics);
+        route.targets = vec![Target { pool: pool.to_owned(), weight: 1 }];
+        route
+    });
+    let configuration =
+        Configuration { version: 1, routes: routes.to_vec(), ..Configuration::default() };
+    let gateway = GatewayFixture::start_with(&[], configuration).await;
+    gateway.list_entries(vec![flood.entry.clone(), sound.entry.clone()]);
+    gateway
+}
+
+/// Sends a request that the endpoint answers with a flood; checks that the gateway ends it and
+/// serves other requests meanwhile.
+async fn check_flood(path: &str, start: &str, repeated: &[u8]) {
+    let case = format!("{path} {start:?} {:?}", String::from_utf8_lossy(repeated));
+    let flood = Flood::spawn("e1", "flood", start, repeated);
+    let sound = Endpoint::spawn("e2", "desk", &[Script::Answer(200, "done")]);
+    let gateway = start_gateway(&flood, &sound).await;
+    let mut caller = gateway.connect_caller().await;
+    caller.send(http::Method::POST, path, &[]).await.expect("the gateway reads");
+    let outcome: FloodOutcome = loop {
+        if let Some(outcome) = flood.outcome() {
+            break outcome;
+        }
+        let answer = timeout(SOUND_REQUEST_TIMEOUT, gateway.post("/reads/")).await;
+        assert_eq!(answer.expect("sound requests are served").body, "done", "{case}");
+        sleep(Duration::from_millis(5)).await;
+    };
+    assert!(outcome.was_closed, "{case}: {outcome:?}");
+    assert!(outcome.bytes < MAX_ENDLESS_BYTES, "{case}: {outcome:?}");
+    if let Ok(answer) = caller.read_answer(&http::Method::POST).await {
+        assert!(!answer.status.is_success(), "{case}: {answer:?} looks complete");
+    }
+}
+
+/// Guards against interim responses that are read for ever, while nothing else runs.
+#[test]
+fn informational_responses_without_end_are_cut() {
+    block_on(async {
+        for path in ["/postings/", "/quotes/"] {
+            check_flood(path, "", b"HTTP/1.1 100 \r\n\r\n").await;
+        }
+    });
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod discovery;
+mod floods;
 mod limits;
 mod quarantine;
 mod retries;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -4,13 +4,13 @@
 //! fails; a truncated body is never reported as complete.
 
 use bytes::Bytes;
-use monoio::io::AsyncReadRent;
 use monoio_codec::FramedRead;
 
 use crate::{
     WireError,
     chunked::ChunkedDecoder,
     decode::{CloseDelimitedDecoder, Framing, LengthDecoder},
+    paced::PacedStream,
 };
 
 /// Reads the rest of a message body.
@@ -42,10 +42,14 @@
     }
 
     /// Returns the next bytes of the body, or `None` once it has been read completely.
-    pub(crate) async fn next_piece<Io: AsyncReadRent, C>(
+    pub(crate) async fn next_piece<C>(
         &mut self,
-        framed: &mut FramedRead<Io, C>,
+        framed: &mut FramedRead<PacedStream, C>,
     ) -> Result<Option<Bytes>, WireError> {
+        // Pieces of buffered bytes take no read that would pause.
+        let turn = framed.get_mut().turn_mut();
+        turn.pause_if_spent().await;
+        turn.spend(0);
         match self {
             Self::Done => Ok(None),
             Self::NoLength => Err(WireError::Framing("the answer states no length")),
@@ -74,9 +78,9 @@
     }
 
     /// Reads the rest of the body; fails if it is longer than `max_bytes`.
-    pub(crate) async fn read_to_end<Io: AsyncReadRent, C>(
+    pub(crate) async fn read_to_end<C>(
         &mut self,
-        framed: &mut FramedRead<Io, C>,
+        framed: &mut FramedRead<PacedStream, C>,
         max_bytes: usize,
     ) -> Result<Bytes, WireError> {
         let too_large = || WireError::BodyTooLarge { limit: max_bytes };
--- a/crates/wire/src/chunked.rs
+++ b/crates/wire/src/chunked.rs
@@ -149,10 +149,25 @@
     #[test]
     fn bytes_that_are_no_chunk_neither_end_a_body_nor_belong_to_it() {
         let no_chunks = [
-            "\r\n\r\n", "\n\n", "\r\r\n", "\n0\r\n\r\n", ";\r\n\r\n", " 0\r\n\r\n", "0 \r\n\r\n",
-            "0\n\n", "0\r\r\n", "0;x=y\r\n\r\n", "-0\r\n\r\n", "0x0\r\n\r\n", "0\r\n\r ",
-            "0\r\nx: y\r\n\r\n", "4\r\nabcde\r\n0\r\n\r\n", "4\r\nabcd0\r\n\r\n", "4\nabcd\r\n0\r\n\r\n",
-            "00000000000000000\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
+            "\r\n\r\n",
+            "\n\n",
+            "\r\r\n",
+            "\n0\r\n\r\n",
+            ";\r\n\r\n",
+            " 0\r\n\r\n",
+            "0 \r\n\r\n",
+            "0\n\n",
+            "0\r\r\n",
+            "0;x=y\r\n\r\n",
+            "-0\r\n\r\n",
+            "0x0\r\n\r\n",
+            "0\r\n\r ",
+            "0\r\nx: y\r\n\r\n",
+            "4\r\nabcde\r\n0\r\n\r\n",
+            "4\r\nabcd0\r\n\r\n",
+            "4\nabcd\r\n0\r\n\r\n",
+            "00000000000000000\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n\r\n",
         ];
         for bytes in no_chunks {
             let body = format!("2\r\nok\r\n{bytes}");
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http::{HeaderMap, HeaderValue, Method, Response, Version, header};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
 use monoio::{
     io::{AsyncWriteRentExt, stream::Stream},
     net::TcpStream,
@@ -26,9 +26,12 @@
     body::BodyReader,
     decode::{Framing, StrictHeadDecoder, parse_framing},
     encode::{self, BodyLength},
+    paced::PacedStream,
     server::has_no_body,
 };
 
+/// Most informational responses that are skipped before a response.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of a chunk in a chunked response, in bytes.
@@ -71,7 +74,7 @@
 /// Dropping it before the end of a response closes the connection, which
 /// cancels the request at a model server.
 pub struct ClientConn {
-    framed: FramedRead<TcpStream, StrictHeadDecoder<ResponseHeadDecoder>>,
+    framed: FramedRead<PacedStream, StrictHeadDecoder<ResponseHeadDecoder>>,
     host: HeaderValue,
     body: BodyReader,
     keep_alive: bool,
@@ -88,7 +91,7 @@
         let host = HeaderValue::from_str(&address.to_string())
             .expect("a socket address is a valid header value");
         Self {
-            framed: FramedRead::with_capacity(stream, decoder, 0),
+            framed: FramedRead::with_capacity(PacedStream::new(stream), decoder, 0),
             host,
             body: BodyReader::Done,
             keep_alive: true,
@@ -131,20 +134,28 @@
         encode::write_request_head(&mut buf, method, uri, &headers, length);
         if body.len() <= MAX_COALESCED_BODY_BYTES {
             buf.extend_from_slice(&body);
-            self.framed.get_mut().write_all(buf).await.0?;
+            self.framed.get_mut().tcp_mut().write_all(buf).await.0?;
             return Ok(());
         }
-        self.framed.get_mut().write_all(buf).await.0?;
-        self.framed.get_mut().write_all(body).await.0?;
+        self.framed.get_mut().tcp_mut().write_all(buf).await.0?;
+        self.framed.get_mut().tcp_mut().write_all(body).await.0?;
         Ok(())
     }
 
     /// Reads the response head for the last sent request, skipping informational responses.
     ///
     /// `method` is the method of that request; a response to `HEAD` has no body.
+    ///
+    /// # Errors
+    ///
+    /// When the connection fails, or the server sends something else than a response: among others,
+    /// a switch to another protocol, or informational responses without end.
     pub async fn read_head(&mut self, method: &Method) -> Result<Response<()>, WireError> {
-        loop {
+        for _ in 0..=MAX_INFORMATIONAL_RESPONSES {
             let head = self.framed.next().await.ok_or(WireError::UnexpectedEof)??;
+            if head.status == StatusCode::SWITCHING_PROTOCOLS {
+                return Err(WireError::Malformed("unsolicited switch of protocols".to_owned()));
+            }
             if head.status.is_informational() {
                 continue;
             }
@@ -161,6 +172,7 @@
                 allows_keep_alive(head.version, &head.headers) && framing != Framing::NoLength;
             return Ok(Response::from_parts(head, ()));
         }
+        Err(WireError::Malformed("too many informational responses".to_owned()))
     }
 
     /// Returns whether the body of the last response ends with the connection, so that its end does
@@ -199,6 +211,7 @@
         if !self.is_reusable() {
             return false;
         }
+        self.framed.get_mut().turn_mut().restart();
         // The peek completes only when bytes or the end of the stream have arrived.
         self.framed.peek_data().now_or_never().is_none()
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod encode;
 mod error;
 mod hop;
+mod paced;
 mod server;
 
 pub use client::{ClientConn, Connector};
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -19,6 +19,7 @@
     body::BodyReader,
     decode::{Framing, StrictHeadDecoder, parse_framing},
     encode::{self, BodyLength, LAST_CHUNK},
+    paced::PacedStream,
 };
 
 /// Size limits and timeouts of a server connection.
@@ -53,7 +54,7 @@
 
 /// An accepted connection, which carries one exchange at a time.
 pub struct ServerConn {
-    framed: FramedRead<TcpStream, StrictHeadDecoder<RequestHeadDecoder>>,
+    framed: FramedRead<PacedStream, StrictHeadDecoder<RequestHeadDecoder>>,
     limits: Limits,
     keep_alive: bool,
     request_started_at: Instant,
@@ -67,7 +68,7 @@
         let _ = stream.set_nodelay(true);
         let decoder = StrictHeadDecoder::new(limits.head_bytes);
         // The buffer is allocated on the first byte, so that idle connections use little memory.
-        let framed = FramedRead::with_capacity(stream, decoder, 0);
+        let framed = FramedRead::with_capacity(PacedStream::new(stream), decoder, 0);
         Self {
             framed,
             limits,
@@ -85,7 +86,7 @@
         if !self.framed.read_buffer().is_empty() {
             return Ok(true);
         }
-        match timeout(self.limits.idle_timeout, self.framed.get_ref().readable(false)).await {
+        match timeout(self.limits.idle_timeout, self.framed.get_ref().tcp().readable(false)).await {
             Ok(ready) => Ok(ready.map(|()| true)?),
             Err(_) => Ok(false),
         }
@@ -200,7 +201,7 @@
     /// Closing a socket with unread bytes resets the connection, and the peer could
     /// lose the response. Incoming bytes are therefore discarded for a limited time.
     pub async fn lingering_close(mut self) {
-        let _ = self.framed.get_mut().shutdown().await;
+        let _ = self.framed.get_mut().tcp_mut().shutdown().await;
         let drain = async {
             for _ in 0..MAX_LINGER_READS {
                 self.framed.read_buffer_mut().clear();
@@ -251,7 +252,7 @@
     }
 
     async fn write_all(&mut self, buf: Vec<u8>) -> Result<(), WireError> {
-        let write = self.framed.get_mut().write_all(buf);
+        let write = self.framed.get_mut().tcp_mut().write_all(buf);
         let Ok((result, mut buf)) = timeout(self.limits.write_timeout, write).await else {
             return Err(WireError::TimedOut { operation: "writing the response" });
         };
