wire: empty lines in place of a head are no head

Callers saw: their connections closed without an answer, as the process was killed for its memory with all requests in flight.

Cause: two empty lines are the end of a head for the size checks of StrictHeadDecoder, at offset 4, so that none applied; the decoder of monoio-http within it skips empty lines, takes the bytes off and asks for more. The reader then reads on for as long as bytes come.

Change: an empty line in place of a head is an error, but for one before a request, which RFC 9112 lets clients send. What the inner decoder calls incomplete after the checks is an error as well. The search for the end of a head goes on where it stopped, and no longer begins anew with each read. Heads of callers and answers of the store go through the same decoder.

Test: floods::bytes_without_end_in_place_of_a_head_are_cut failed before (3,417,833,472 bytes were taken in 4 s), passes now; two unit tests.

--- a/crates/gateway/tests/testsuite/floods.rs
+++ b/crates/gateway/tests/testsuite/floods.rs
@@ -66,3 +66,23 @@
         }
     });
 }
+
+/// Guards against bytes in place of a head, or of a part of it, that are all kept in memory.
+#[test]
+fn bytes_without_end_in_place_of_a_head_are_cut() {
+    block_on(async {
+        let forms: [(&str, &[u8]); 8] = [
+            ("", b"\r\n"),
+            ("", b"\n"),
+            ("", b"\0"),
+            ("", b"HTTP/1.1 200 OK"),
+            ("\r\n", b"HTTP/1.1 200 OK\r\n"),
+            ("HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+            ("HTTP/1.1 200 OK\r\nx: ", b"y"),
+            ("HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n", b"\r"),
+        ];
+        for (start, repeated) in forms {
+            check_flood("/postings/", start, repeated).await;
+        }
+    });
+}
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -2,7 +2,7 @@
 //!
 //! They reject messages that another HTTP implementation could interpret differently.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderMap, Version, header};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::DecodeError;
@@ -12,29 +12,83 @@
 /// Maximum number of headers that `monoio-http` decodes in one message.
 const MAX_HEADERS: usize = 96;
 
-/// Decodes a head of bounded size and rejects bare line feeds.
+/// Decodes a head of bounded size and rejects bare line feeds and empty lines in place of a head.
 ///
 /// `monoio-http` takes all bytes up to `\r\n\r\n` as the head, but its parser accepts a bare
 /// line feed as the end of a line and so can end the head earlier. The bytes between that
-/// end and `\r\n\r\n` would be lost.
+/// end and `\r\n\r\n` would be lost. It also skips any number of empty lines.
 pub(crate) struct StrictHeadDecoder<D> {
     inner: D,
     max_bytes: usize,
+    /// Whether one empty line before a head is skipped.
+    skips_empty_line: bool,
+    has_skipped_line: bool,
+    /// Up to where the incomplete head has been searched for its end.
+    searched: usize,
 }
 
 impl<D: Default> StrictHeadDecoder<D> {
     pub(crate) fn new(max_bytes: usize) -> Self {
-        Self { inner: D::default(), max_bytes }
+        Self {
+            inner: D::default(),
+            max_bytes,
+            skips_empty_line: false,
+            has_skipped_line: false,
+            searched: 0,
+        }
+    }
+
+    /// Skips one empty line before a head, which some clients send after a request's body
+    /// ([RFC 9112, section 2.2](https://www.rfc-editor.org/rfc/rfc9112#section-2.2)).
+    pub(crate) fn skip_empty_line(mut self) -> Self {
+        self.skips_empty_line = true;
+        self
     }
 }
 
+impl<D> StrictHeadDecoder<D> {
+    /// Removes an empty line that may be skipped; fails if another one is in place of the head.
+    ///
+    /// Returns false if the first line is incomplete so far.
+    fn skip_to_head(&mut self, src: &mut BytesMut) -> Result<bool, WireError> {
+        if self.skips_empty_line && !self.has_skipped_line {
+            if src.starts_with(b"\r\n") {
+                src.advance(2);
+                self.has_skipped_line = true;
+            } else if **src == *b"\r" {
+                return Ok(false);
+            }
+        }
+        match src.first() {
+            Some(b'\r' | b'\n') => {
+                Err(WireError::Malformed("an empty line in place of a head".to_owned()))
+            }
+            first => Ok(first.is_some()),
+        }
+    }
+
+    /// Returns the length of the head, if it is complete.
+    fn find_head_end(&mut self, src: &[u8]) -> Option<usize> {
+        let from = self.searched.saturating_sub(HEAD_END.len() - 1);
+        let end = src[from..].windows(HEAD_END.len()).position(|w| w == HEAD_END);
+        self.searched = if end.is_some() { 0 } else { src.len() };
+        Some(from + end? + HEAD_END.len())
+    }
+}
+
+/// The end of the last header and the empty line after it.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 impl<D: Decoder<Error = DecodeError>> Decoder for StrictHeadDecoder<D> {
     type Item = D::Item;
     type Error = WireError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, WireError> {
+        if !self.skip_to_head(src)? {
+            return Ok(Decoded::Insufficient);
+        }
         let too_large = WireError::HeadTooLarge { limit: self.max_bytes };
-        let Some(end) = find_head_end(src) else {
+        let Some(end) = self.find_head_end(src) else {
             if src.len() > self.max_bytes {
                 return Err(too_large);
             }
@@ -46,14 +100,14 @@
         if count_head_lines(&src[..end])? > MAX_HEADERS + 1 {
             return Err(too_large);
         }
-        Ok(self.inner.decode(src)?)
+        self.has_skipped_line = false;
+        match self.inner.decode(src)? {
+            Decoded::Some(head) => Ok(Decoded::Some(head)),
+            _ => Err(WireError::Malformed("an incomplete head".to_owned())),
+        }
     }
 }
 
-fn find_head_end(src: &[u8]) -> Option<usize> {
-    src.windows(4).position(|w| w == b"\r\n\r\n").map(|start| start + 4)
-}
-
 /// Counts the start line and the headers; fails if a line ends with a bare line feed.
 fn count_head_lines(head: &[u8]) -> Result<usize, WireError> {
     let mut lines = 0;
@@ -162,6 +216,7 @@
 #[cfg(test)]
 mod tests {
     use http::HeaderValue;
+    use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
 
     use super::*;
 
@@ -189,4 +244,38 @@
             parse_framing(Version::HTTP_10, &headers(&[("transfer-encoding", "chunked")])).is_err()
         );
     }
+
+    #[test]
+    fn one_empty_line_is_skipped_before_a_request_and_none_before_a_response() {
+        let request = b"GET / HTTP/1.1\r\n\r\n".as_slice();
+        for lines in 0..3 {
+            let text = ["\r\n".repeat(lines).as_bytes(), request].concat();
+            let mut decoder = StrictHeadDecoder::<RequestHeadDecoder>::new(1024).skip_empty_line();
+            let mut src = BytesMut::new();
+            let decoded: Vec<bool> = text
+                .iter()
+                .map_while(|byte| {
+                    src.extend_from_slice(&[*byte]);
+                    decoder.decode(&mut src).ok().map(|head| matches!(head, Decoded::Some(_)))
+                })
+                .collect();
+            assert_eq!(decoded.last() == Some(&true), lines < 2, "{lines} lines");
+            assert!(lines < 2 || decoded.len() < 5);
+        }
+        let mut decoder = StrictHeadDecoder::<ResponseHeadDecoder>::new(1024);
+        assert!(decoder.decode(&mut "\r\nHTTP/1.1 200 OK\r\n\r\n".into()).is_err());
+    }
+
+    #[test]
+    fn bytes_of_a_long_head_are_searched_once() {
+        let mut decoder = StrictHeadDecoder::<ResponseHeadDecoder>::new(1024);
+        let mut src = BytesMut::new();
+        for pieces in 1..20 {
+            src.extend_from_slice(b"HTTP/1.1 200 OK ");
+            assert!(matches!(decoder.decode(&mut src), Ok(Decoded::Insufficient)));
+            assert_eq!(decoder.searched, pieces * 16);
+        }
+        src.extend_from_slice(HEAD_END);
+        assert!(matches!(decoder.decode(&mut src), Ok(Decoded::Some(_))));
+    }
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -66,7 +66,7 @@
     pub fn new(stream: TcpStream, limits: Limits) -> Self {
         // With Nagle's algorithm, each small chunk would wait for the peer's acknowledgement.
         let _ = stream.set_nodelay(true);
-        let decoder = StrictHeadDecoder::new(limits.head_bytes);
+        let decoder = StrictHeadDecoder::new(limits.head_bytes).skip_empty_line();
         // The buffer is allocated on the first byte, so that idle connections use little memory.
         let framed = FramedRead::with_capacity(PacedStream::new(stream), decoder, 0);
         Self {
