gateway: blank lines and comments in a stream are no events

Callers saw: no answer of any request at the instance for as long as an endpoint sent empty lines in the body of one stream (12 s).

Cause: EventParser took each empty line for a complete event, so that the bound on an event's length never applied and the silence timeout began anew with each line; and the relay never waited, as the endpoint always had data and the caller took it.

Change: a block without a field is no event. It is forwarded as it is, since the body belongs to the endpoint, but it neither ends the silence nor counts, and at most 1 MiB may come without an event.

Two unit tests. The flooded routes of these tests end at their timeout what stays below the bounds in bytes, as single bytes in chunks of their own.

--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -118,11 +118,12 @@
         };
         match received {
             Ok(Some(data)) => {
+                let events_before = parser.forwarded_events();
                 let Ok(complete_events) = parser.push(&data) else {
                     in_flight.end(Ending::Failed);
                     return RelayEnd::Broken("an event is too long");
                 };
-                if !complete_events.is_empty() {
+                if parser.forwarded_events() > events_before {
                     last_event_at = Instant::now();
                 }
                 if parser.forwarded_events() > forwarded_before {
@@ -180,7 +181,7 @@
 /// Waits for data from the endpoint.
 ///
 /// Silence counts from the last complete event, as an endpoint that has stalled may still send
-/// single bytes.
+/// single bytes, blank lines or comments.
 async fn wait_for_data(
     exchange: &Exchange<'_>,
     conn: &mut ServerConn,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits a `text/event-stream` body into its events.
 //!
 //! Only complete events are forwarded. A stream that ends inside an event has been broken off.
+//! Blank lines and comments between events are forwarded, too, but are no events.
 //! Events with an id that is not larger than the last forwarded one are dropped, so that a resumed
 //! stream repeats none of them.
 
@@ -9,10 +10,11 @@
 use bytes::{Bytes, BytesMut};
 use monoio::time::Instant;
 
-/// The longest event, in bytes. An endpoint that sends more without ending the event is faulty.
+/// The longest event with the blank lines and comments before it, in bytes. An endpoint that sends
+/// more without ending an event is faulty.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// An endpoint sent an event that is longer than [`MAX_EVENT_BYTES`].
+/// An endpoint sent more than [`MAX_EVENT_BYTES`] without ending an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct EventTooLong;
 
@@ -28,6 +30,8 @@
     line_start: usize,
     /// Up to where `partial` has been searched for the end of the event.
     searched: usize,
+    /// The bytes of blank lines and comments since the last event.
+    bytes_since_event: usize,
     last_event_id: Option<u64>,
     forwarded_events: u32,
     timing: EventTiming,
@@ -57,17 +61,24 @@
         Self { last_event_id, ..Self::default() }
     }
 
-    /// Appends received data and returns the new events that it completes.
+    /// Appends received data and returns the new events that it completes, with the blank lines and
+    /// comments between them.
     ///
     /// # Errors
     ///
-    /// Returns an error if the incomplete event is too long.
+    /// Returns an error if no event ends within [`MAX_EVENT_BYTES`].
     pub(crate) fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
         self.partial.extend_from_slice(data);
         let mut forwarded = BytesMut::new();
         while let Some(end) = self.find_event_end() {
             let event = self.partial.split_to(end);
             self.restart_search();
+            if !is_event(&event) {
+                self.bytes_since_event += event.len();
+                forwarded.unsplit(event);
+                continue;
+            }
+            self.bytes_since_event = 0;
             let id = event_id(&event);
             if id.is_some_and(|id| self.last_event_id.is_some_and(|last| id <= last)) {
                 continue;
@@ -77,7 +88,7 @@
             self.timing.record_event(Instant::now());
             forwarded.unsplit(event);
         }
-        match self.partial.len() > MAX_EVENT_BYTES {
+        match self.bytes_since_event + self.partial.len() > MAX_EVENT_BYTES {
             true => Err(EventTooLong),
             false => Ok(forwarded.freeze()),
         }
@@ -120,6 +131,7 @@
     /// Discards an incomplete event, before the stream is resumed at another endpoint.
     pub(crate) fn discard_partial(&mut self) {
         self.restart_search();
+        self.bytes_since_event = 0;
         self.partial.clear();
     }
 
@@ -138,6 +150,11 @@
     }
 }
 
+/// Returns whether a block up to a blank line has a field, as opposed to comments only.
+fn is_event(block: &[u8]) -> bool {
+    block.split(|b| *b == b'\n').any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
@@ -205,4 +222,23 @@
         assert!(results[..100].iter().all(Result::is_ok));
         assert_eq!(results[199], Err(EventTooLong));
     }
+
+    #[test]
+    fn blank_lines_and_comments_are_forwarded_but_are_no_events() {
+        let mut events = EventParser::default();
+        let text = "\n\r\n: a comment\n\nid: 1\ndata: a\n\n\n:\n:\n\n";
+        assert_eq!(events.push(text.as_bytes()).unwrap(), text);
+        assert_eq!((events.forwarded_events(), events.last_event_id()), (1, Some(1)));
+    }
+
+    #[test]
+    fn blank_lines_without_end_are_an_error() {
+        for text in ["\n", "\r\n", ":\n\n"] {
+            let mut events = EventParser::default();
+            let piece = text.repeat(MAX_EVENT_BYTES / 4 / text.len());
+            let results: Vec<_> = (0..6).map(|_| events.push(piece.as_bytes())).collect();
+            assert!(results[..3].iter().all(Result::is_ok), "{text:?}");
+            assert_eq!(results[5], Err(EventTooLong), "{text:?}");
+        }
+    }
 }
--- a/crates/gateway/tests/testsuite/floods.rs
+++ b/crates/gateway/tests/testsuite/floods.rs
@@ -11,6 +11,8 @@
     fixture::{GatewayFixture, MAX_ENDLESS_BYTES, block_on, route},
 };
 
+/// The timeout of the flooded routes, which ends what stays below the bounds in bytes.
+const TIMEOUT_MS: u64 = 1_500;
 /// How long a request may take that has nothing to do with the flood.
 const SOUND_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -23,6 +25,7 @@
     ];
     let routes = routes.map(|(name, semantics, pool)| {
         let mut route = route(name, semantics);
+        route.timeout_ms = TIMEOUT_MS;
         route.targets = vec![Target { pool: pool.to_owned(), weight: 1 }];
         route
     });
@@ -86,3 +89,51 @@
         }
     });
 }
+
+const CHUNKED_STREAM: &str = "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n\
+     baobabvane-signature: s\r\ncontent-type: text/event-stream\r\n\
+     transfer-encoding: chunked\r\n\r\n";
+const STREAM_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\n\
+     baobabvane-signature: s\r\ncontent-type: text/event-stream\r\n\r\n";
+
+/// Guards against bodies whose bytes are handled without a pause, so that nothing else runs.
+#[test]
+fn bytes_without_end_in_place_of_events_are_cut() {
+    let lines_in_chunk = format!("{:x}\r\n{}\r\n", 16_384, "\n".repeat(16_384));
+    block_on(async {
+        let forms: [(&str, &[u8]); 9] = [
+            (CHUNKED_STREAM, lines_in_chunk.as_bytes()),
+            (CHUNKED_STREAM, b"1\r\n\n\r\n"),
+            (CHUNKED_STREAM, b"3\r\n:\n\n\r\n"),
+            (CHUNKED_STREAM, b"0"),
+            (CHUNKED_STREAM, b"\r\n"),
+            (STREAM_UNTIL_CLOSE, b"\n"),
+            (STREAM_UNTIL_CLOSE, b"\r\n"),
+            (STREAM_UNTIL_CLOSE, b": x\n\n"),
+            (STREAM_UNTIL_CLOSE, b"x"),
+        ];
+        for (start, repeated) in forms {
+            check_flood("/quotes/", start, repeated).await;
+        }
+    });
+}
+
+/// Guards against answers whose bytes are all in order, but too many.
+#[test]
+fn bodies_without_end_are_cut() {
+    let chunked = CHUNKED_STREAM.replace("event-stream", "plain");
+    let with_length = chunked.replace("transfer-encoding: chunked", "content-length: 99999999999");
+    let until_close = STREAM_UNTIL_CLOSE.replace("event-stream", "plain");
+    block_on(async {
+        let forms: [(&str, &[u8]); 5] = [
+            (&chunked, b"1\r\nx\r\n"),
+            (&chunked, b"400\r\n"),
+            (&with_length, b"x"),
+            (&until_close, b"x"),
+            (&until_close, b"\r\n"),
+        ];
+        for (start, repeated) in forms {
+            check_flood("/postings/", start, repeated).await;
+        }
+    });
+}
