gateway: a stop gives each request that was read its answer

Callers saw: connections that closed without an answer when an instance was stopped, of requests that had waited for an endpoint for seconds and had reached none; a caller may not repeat those that are not idempotent.

Cause: Gateway::until_stopped ended the process shortly before the end of the grace period, however many requests waited in the scheduler's queue; nothing refused them before, and those that got an endpoint shortly before the end were cut there as well.

Change: one module, drain, says what a stop owes each request. From then on, what waits for an endpoint is refused with 503 and Retry-After, as it has not run and another instance may have a place; it waits on only if its own timeout ends before the last answers. 400 ms before the end of the grace period each request that is left gets its last answer, 502 if it may have run; streams are cut without their last chunk. The process ends once these are written.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -147,6 +147,9 @@
         monoio::select! {
             result = exchange.response() => Some(result),
             () = conn.peer_closed() => None,
+            () = cx.drain.until_last_answers() => {
+                Some(Err(Failure::Stopping(exchange.verdict.get())))
+            }
         }
     };
     if cx.drain.has_begun() {
--- a/crates/gateway/src/caller/admission.rs
+++ b/crates/gateway/src/caller/admission.rs
@@ -23,7 +23,7 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// `Retry-After` of a draining instance; short, as the retry goes to another instance.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// A request that passed admission, prepared for an endpoint.
 pub(super) struct AdmittedRequest {
@@ -99,7 +99,7 @@
                 ..reject(StatusCode::SERVICE_UNAVAILABLE, "the configuration may be out of date")
             },
         };
-    if cx.drain.is_rejecting_new_requests() {
+    if !cx.drain.accepts_requests() {
         return Err(Rejection {
             retry_after: Some(STOPPING_RETRY_AFTER),
             ..reject(StatusCode::SERVICE_UNAVAILABLE, "stopping")
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -123,7 +123,7 @@
     ErrorResponse(Response),
     /// The scheduler granted no endpoint.
     Refused(Refused),
-    /// The scheduler gave neither a grant nor a refusal, as when the process is shutting down.
+    /// The instance is stopping, and the request may not wait for an endpoint any longer.
     Stopping,
 }
 
@@ -238,9 +238,11 @@
         is_quota_charged: bool,
     ) -> Result<EndpointResponse, AttemptFailure> {
         let placement_request = self.placement_request(is_retry, is_quota_charged);
-        let granted = flight::request_endpoint(&self.cx.scheduler, placement_request)
-            .await
-            .ok_or(AttemptFailure::Stopping)?;
+        let granted = monoio::select! {
+            granted = flight::request_endpoint(&self.cx.scheduler, placement_request) => granted,
+            () = self.until_waiting_ends() => None,
+        };
+        let granted = granted.ok_or(AttemptFailure::Stopping)?;
         let (grant, in_flight) = granted.map_err(AttemptFailure::Refused)?;
         self.log_dispatched(&grant);
         let endpoint = grant.endpoint;
@@ -252,6 +254,17 @@
         result
     }
 
+    /// Resolves when the instance stops and may not wait for an endpoint any longer.
+    ///
+    /// A request that may have run waits until the last answers, as no other instance can tell its
+    /// caller more.
+    async fn until_waiting_ends(&self) {
+        match self.verdict.get() {
+            Verdict::NotRun => self.cx.drain.until_waiting_ends(self.time_left()).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     fn placement_request(&self, is_retry: bool, is_quota_charged: bool) -> PlacementRequest {
         let AdmittedRequest { route, prompt, organisation, .. } = &self.request;
         let is_stream = route.semantics == Semantics::Stream;
@@ -557,7 +570,7 @@
         (_, Some(res)) => Ok(EndpointResponse::Complete(res)),
         (AttemptFailure::MayHaveRun(cause), _) => Err(Failure::MayHaveRun(cause)),
         (_, None) if may_have_run => Err(Failure::MayHaveRun("an earlier try failed")),
-        (AttemptFailure::Stopping, _) => Err(Failure::Stopping),
+        (AttemptFailure::Stopping, _) => Err(Failure::Stopping(verdict)),
         (AttemptFailure::NotRun(cause), _) => Err(Failure::NotRun(cause)),
         (AttemptFailure::NotSent, _) => Err(Failure::NotRun("no endpoint could be reached")),
         (AttemptFailure::Refused(refused), _) => Err(Failure::Refused(refused)),
--- a/crates/gateway/src/caller/failure.rs
+++ b/crates/gateway/src/caller/failure.rs
@@ -10,7 +10,7 @@
 use baobabvane_wire::Response;
 use http::{HeaderValue, StatusCode};
 
-use super::reply::LocalReply;
+use super::{admission::STOPPING_RETRY_AFTER, reply::LocalReply};
 use crate::{context::Context, scheduler::Refused};
 
 /// Bounds of `Retry-After` after a refusal for load. The lower one holds for all refusals.
@@ -28,9 +28,8 @@
     MayHaveRun(&'static str),
     /// The request's timeout elapsed; the verdict states whether an endpoint may have run it.
     TimedOut(Verdict),
-    /// The scheduler gave neither a grant nor a refusal, as when the process is shutting down; the
-    /// request has not run.
-    Stopping,
+    /// The instance is stopping; the verdict states whether an endpoint may have run the request.
+    Stopping(Verdict),
 }
 
 impl Failure {
@@ -41,7 +40,7 @@
             Self::NotRun(_) => "not_run",
             Self::MayHaveRun(_) => "may_have_run",
             Self::TimedOut(_) => "timed_out",
-            Self::Stopping => "stopping",
+            Self::Stopping(_) => "stopping",
         }
     }
 
@@ -73,7 +72,13 @@
                 LocalReply::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoint in time")
             }
             Self::TimedOut(_) => LocalReply::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            Self::Stopping => LocalReply::new(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+            Self::Stopping(Verdict::NotRun) => {
+                LocalReply::new(StatusCode::SERVICE_UNAVAILABLE, "stopping")
+                    .retry_after(Some(STOPPING_RETRY_AFTER))
+            }
+            Self::Stopping(_) => {
+                LocalReply::new(StatusCode::BAD_GATEWAY, "stopping before the answer came")
+            }
         };
         reply.header(&cx.header_names.request_id, request_id).build()
     }
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -32,6 +32,8 @@
     CallerDisconnected,
     /// The request's timeout elapsed.
     TimedOut,
+    /// The instance ends before the stream.
+    Stopping,
 }
 
 /// Writes the response head and forwards the events until the stream ends.
@@ -71,6 +73,10 @@
                 log_stream_end(exchange, "stream_cut", &parser, &endpoint_id, "out of time");
                 return Err(Truncated);
             }
+            RelayEnd::Stopping => {
+                log_stream_end(exchange, "stream_cut", &parser, &endpoint_id, "stopping");
+                return Err(Truncated);
+            }
             RelayEnd::Broken(cause) => {
                 parser.discard_partial();
                 exchange.log(
@@ -84,6 +90,7 @@
                 let resumed = monoio::select! {
                     resumed = exchange.resume(last_event_id, endpoint) => resumed,
                     () = conn.peer_closed() => None,
+                    () = exchange.cx.drain.until_last_answers() => None,
                 };
                 match resumed {
                     Some(resumed_stream) => stream = resumed_stream,
@@ -111,6 +118,7 @@
             WaitResult::Data(data) => data,
             WaitResult::CallerDisconnected => return RelayEnd::CallerDisconnected,
             WaitResult::TimedOut => return RelayEnd::TimedOut,
+            WaitResult::Stopping => return RelayEnd::Stopping,
             WaitResult::EndpointSilent => {
                 in_flight.end(Ending::Failed);
                 return RelayEnd::Broken("the endpoint is silent");
@@ -175,6 +183,7 @@
     Data(Result<Option<Bytes>, WireError>),
     CallerDisconnected,
     TimedOut,
+    Stopping,
     EndpointSilent,
 }
 
@@ -200,6 +209,7 @@
     monoio::select! {
         data = upstream.next_piece() => WaitResult::Data(data),
         () = conn.peer_closed() => WaitResult::CallerDisconnected,
+        () = exchange.cx.drain.until_last_answers() => WaitResult::Stopping,
         () = sleep(wait) => if wait < time_left {
             WaitResult::EndpointSilent
         } else {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,7 +1,4 @@
 //! State that the connections of callers share: configuration, task mailboxes, counters, drain.
-//!
-//! While an instance drains, requests that it has accepted run to their end unless the platform's
-//! grace period for stopping an instance is over first.
 
 use std::{
     cell::{Cell, RefCell},
@@ -11,11 +8,9 @@
 
 use baobabvane_decide::Ticket;
 use baobabvane_tasks::Mailbox;
-use futures::{FutureExt, channel::oneshot, future::Shared};
-use monoio::time::Instant;
 
 use crate::{
-    headers::HeaderNames, knowledge::Knowledge, links::EndpointConnections,
+    drain::Drain, headers::HeaderNames, knowledge::Knowledge, links::EndpointConnections,
     scheduler::SchedulerMessage,
 };
 
@@ -45,6 +40,7 @@
         knowledge: Rc<Knowledge>,
         scheduler: Mailbox<SchedulerMessage>,
         max_configuration_age: Duration,
+        grace: Duration,
     ) -> Self {
         Self {
             header_names,
@@ -52,7 +48,7 @@
             scheduler,
             endpoint_connections: EndpointConnections::default(),
             max_configuration_age,
-            drain: Drain::default(),
+            drain: Drain::new(grace),
             active_requests: Cell::new(0),
             caller_connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
@@ -77,49 +73,3 @@
         self.knowledge.is_complete() && !self.drain.has_begun()
     }
 }
-
-/// Drain state of an instance, from the stop request to the end of the process.
-///
-/// New requests are still served at first, as the load balancer needs a few probes to see that
-/// the instance is not ready. Later ones are rejected, so that accepted requests can finish.
-pub(crate) struct Drain {
-    began_at: Cell<Option<Instant>>,
-    begin_tx: RefCell<Option<oneshot::Sender<()>>>,
-    begun_rx: Shared<oneshot::Receiver<()>>,
-}
-
-/// How long new requests are still served after the stop request. A load balancer that probes once
-/// a second needs two probes to detect that the instance is not ready, and both fit in this time.
-const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2_500);
-
-impl Default for Drain {
-    fn default() -> Self {
-        let (tx, rx) = oneshot::channel();
-        Self { began_at: Cell::new(None), begin_tx: RefCell::new(Some(tx)), begun_rx: rx.shared() }
-    }
-}
-
-impl Drain {
-    pub(crate) fn begin(&self) {
-        self.began_at.set(Some(Instant::now()));
-        if let Some(tx) = self.begin_tx.borrow_mut().take() {
-            // This cannot fail, as `begun_rx` keeps the receiver.
-            let _ = tx.send(());
-        }
-    }
-
-    pub(crate) fn has_begun(&self) -> bool {
-        self.began_at.get().is_some()
-    }
-
-    /// Returns whether a request that arrives now is rejected, so that the caller retries it at
-    /// another instance.
-    pub(crate) fn is_rejecting_new_requests(&self) -> bool {
-        self.began_at.get().is_some_and(|began_at| began_at.elapsed() > DRAIN_ACCEPT_PERIOD)
-    }
-
-    /// Resolves once the drain has begun.
-    pub(crate) async fn begun(&self) {
-        let _ = self.begun_rx.clone().await;
-    }
-}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -25,13 +25,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How often expired idle connections to endpoints are closed and gauges are updated.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
-/// The minimum time from the stop request to the exit. A load balancer that probes once a
-/// second needs two probes to detect that an instance is not ready; until then, it still
-/// routes callers to this instance.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_500);
-/// How long before the end of the grace period the drain stops.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
-
 /// The settings of an instance, fixed at its start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GatewaySettings {
@@ -82,7 +75,6 @@
     cx: Rc<Context>,
     feed: Feed,
     stop: StopHandle,
-    grace: Duration,
 }
 
 impl Gateway<Bound> {
@@ -147,7 +139,8 @@
         )?;
         let max_age = Duration::from_millis(settings.configuration_max_age_ms);
         let feed = Feed { knowledge: Rc::clone(&knowledge), scheduler: scheduler.clone(), peers };
-        let cx = Rc::new(Context::new(names, knowledge, scheduler, max_age));
+        let grace = Duration::from_millis(settings.grace_ms);
+        let cx = Rc::new(Context::new(names, knowledge, scheduler, max_age, grace));
         monoio::spawn(caller::accept_connections(state.callers, Rc::clone(&cx)));
         monoio::spawn(ready::serve_ready(state.ready, Rc::clone(&cx)));
         if let Some(listener) = state.metrics {
@@ -155,8 +148,7 @@
         }
         monoio::spawn(maintain_connections(Rc::clone(&cx)));
         log::info!("event=started instance={} listen={}", settings.name, settings.listen);
-        let grace = Duration::from_millis(settings.grace_ms);
-        let state = Serving { cx, feed, stop, grace };
+        let state = Serving { cx, feed, stop };
         Ok(Gateway { settings, state })
     }
 }
@@ -177,11 +169,12 @@
     }
 
     /// Serves until a stop is requested, then drains: waits until the load balancer has
-    /// detected the stop and no request is active, or until the grace period is nearly over.
+    /// detected the stop and each request has got its answer.
     ///
-    /// Returns the number of requests that were still active at the end.
+    /// Returns the number of requests whose answer was not written when the grace period was
+    /// nearly over.
     pub async fn until_stopped(self) -> usize {
-        let Serving { cx, feed, stop, grace } = &self.state;
+        let Serving { cx, feed, stop } = &self.state;
         while !stop.is_stop_requested() {
             sleep(POLL_INTERVAL).await;
         }
@@ -194,11 +187,7 @@
             cx.active_requests.get(),
             cx.caller_connections.get()
         );
-        let end = grace.saturating_sub(GRACE_MARGIN);
-        while began.elapsed() < end {
-            if began.elapsed() >= MIN_DRAIN_TIME && cx.active_requests.get() == 0 {
-                break;
-            }
+        while !cx.drain.is_over(cx.active_requests.get()) {
             sleep(POLL_INTERVAL).await;
         }
         let cut = cx.active_requests.get();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //!
 //! A platform adapter supplies configuration and endpoints through [`Feed`]; other
 //! instances supply them through `peer`. `knowledge` holds the latest configuration and how
-//! current it is. [`Gateway`] starts and stops an instance.
+//! current it is. [`Gateway`] starts and stops an instance, and `drain` says what a stop owes each
+//! request.
 //! See [running on the platform](../../../docs/platform.md).
 
 mod caller;
@@ -18,6 +19,7 @@
 mod context;
 mod daemon;
 mod directory;
+mod drain;
 mod events;
 mod feed;
 mod headers;
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -1,6 +1,6 @@
 //! Test fixture that starts a gateway with its endpoints and sends requests as a caller.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_gateway::{
     Configuration, DiscoveredEndpoint, Feed, Gateway, GatewaySettings, HeaderNames, LogPosition,
@@ -58,6 +58,8 @@
     caller_address: SocketAddr,
     ready_address: SocketAddr,
     pub(crate) peer_address: SocketAddr,
+    /// How many requests were without an answer when the gateway stopped; `None` until then.
+    pub(crate) unanswered_at_end: Rc<Cell<Option<usize>>>,
 }
 
 /// A caller's connection.
@@ -135,8 +137,18 @@
         let stop = StopHandle::default();
         let gateway = gateway.spawn(HeaderNames::default(), stop.clone(), Rc::new(String::new))?;
         let feed = gateway.feed();
-        monoio::spawn(gateway.until_stopped());
-        Ok(Self { feed, stop, configuration, caller_address, ready_address, peer_address })
+        let unanswered_at_end = Rc::new(Cell::new(None));
+        let unanswered = Rc::clone(&unanswered_at_end);
+        monoio::spawn(async move { unanswered.set(Some(gateway.until_stopped().await)) });
+        Ok(Self {
+            feed,
+            stop,
+            configuration,
+            caller_address,
+            ready_address,
+            peer_address,
+            unanswered_at_end,
+        })
     }
 
     pub(crate) fn list_endpoints(&self, endpoints: &[&Endpoint]) {
