platform: a reader of the store that is behind starts from the newest records

Callers saw: requests on a route that had been dropped were run past the bound, for as long as the store kept the old records (up to keep_s).

Cause: only two instances follow the store; the others get the configuration from them, but keep their own place in keyed.op, which dates from their start. When they have to read the store themselves, they ask for all since then, reject the answer over 8 MiB and repeat the same call, since only a deleted record or another era made them start anew. The list of endpoints did not have the fault: its place comes with what peers tell.

Change: an instance that has learned of a later version from a peer reads the newest records, not those that it missed; and an answer that is too large loses the place in any topic, as one that was deleted does.

--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -115,6 +115,65 @@
     fleet.remove_folder();
 }
 
+/// Appends more records to the operators' topic than a reader takes at once.
+fn append_many_changes(fleet: &Fleet) {
+    let value = vec![b'x'; 250_000];
+    for _ in 0..40 {
+        fleet.store.append("keyed.op", b"other", &value);
+    }
+}
+
+/// Waits until each gateway hears all others; until then it may read the store itself.
+async fn wait_for_peers(fleet: &Fleet) {
+    let heard = format!("heard={}", fleet.gateways.len());
+    let began = Instant::now();
+    while !fleet.gateways.iter().all(|g| g.log().contains(&heard)) {
+        assert!(began.elapsed() < CONVERGENCE_TIMEOUT, "{}", fleet.gateways[0].log());
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against an instance that begins to read the store where it stopped long ago.
+#[test]
+fn a_gateway_that_takes_over_reading_the_store_needs_no_old_records() {
+    let mut fleet = spawn_fleet(3);
+    block_on(async {
+        wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
+        wait_for_peers(&fleet).await;
+        fleet.configure(&["k1", "k2"]);
+        wait_for_status_on_all(&fleet, "k2", "/read/1", StatusCode::OK).await;
+        append_many_changes(&fleet);
+        // The gateways with the lowest addresses read the store for the others.
+        for gateway in &mut fleet.gateways[..2] {
+            gateway.signal("KILL");
+            gateway.wait();
+        }
+        fleet.configure(&["k3"]);
+        let last = &fleet.gateways[2];
+        wait_for_status(last, "k3", "/read/1", StatusCode::OK).await;
+        wait_for_status(last, "k1", "/read/1", StatusCode::UNAUTHORIZED).await;
+        assert!(!last.log().contains("event=store_lost"), "{}", last.log());
+    });
+    fleet.remove_folder();
+}
+
+/// Guards against a read whose answer is rejected for its size and that is repeated for ever.
+#[test]
+fn a_gateway_that_missed_more_than_it_can_read_at_once_starts_from_the_newest_records() {
+    let mut fleet = spawn_fleet(1);
+    block_on(async {
+        wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
+        fleet.gateways[0].store_link.set_fault(ProxyFault::Reset);
+        append_many_changes(&fleet);
+        fleet.configure(&["k2"]);
+        fleet.gateways[0].store_link.set_fault(ProxyFault::None);
+        let gateway = &fleet.gateways[0];
+        wait_for_status(gateway, "k2", "/read/1", StatusCode::OK).await;
+        wait_for_status(gateway, "k1", "/read/1", StatusCode::UNAUTHORIZED).await;
+    });
+    fleet.remove_folder();
+}
+
 #[test]
 fn a_gateway_that_starts_without_the_store_is_not_ready() {
     let mut fleet = spawn_fleet(1);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -63,6 +63,12 @@
         self.knowledge.apply_configuration(configuration, "store");
     }
 
+    /// Returns the version of the configuration in force, from the store or from a peer; 0 before the
+    /// first one.
+    pub fn configuration_version(&self) -> u64 {
+        self.knowledge.versions().configuration
+    }
+
     /// Records that the store holds no newer configuration than the one passed last.
     pub fn configuration_confirmed(&self) {
         let now = Some(Instant::now());
