gateway: a fleet finds other readers of the store soon after it loses them

Callers saw: requests handled by a configuration that had been replaced more than configApplyMs before (3 s on the grown deployments), where the two instances that read the store for all others were cut off right before the change.

Cause, three parts of one: - An instance counted as one that reads the store for as long as its last read was recent (0.75 of the bound), also when nobody had heard from it since. - What instances told each other of such reads was an age. Each that passes it on adds the time that the report was on its way to the moment of the read, and the latest moment won, so that reports of an instance that was gone renewed each other: 1.1 s beyond the 2.25 s that the constants allow. - The two readers are those with the lowest addresses, mostly of one zone, so that one cut takes both.

Change: a report names the heartbeat that it is from, and only a newer one counts. An instance counts as a reader only if a heartbeat of it was heard, by anyone, within a quarter of the bound. The second reader is of another zone than the first. Long polls take up to 0.35 of the bound in place of 0.5, and an instance whose answer is overdue by 0.15 of it says so at once and goes on waiting, so that the store's silence towards both readers is noticed in time, too. New events: store_polling_begun, store_overdue.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -23,7 +23,10 @@
 
 /// The share of the propagation bound that a long poll may take; the rest is for propagation to
 /// the other instances.
-const MAX_LONG_POLL_SHARE: f64 = 0.5;
+const MAX_LONG_POLL_SHARE: f64 = 0.35;
+/// The share of the propagation bound by which an answer of the store may be late before another
+/// instance polls as well.
+const OVERDUE_SHARE: f64 = 0.15;
 /// The shortest long poll, as a share of the longest one. Timeouts are drawn at random so that
 /// instances do not poll at the same time.
 const MIN_LONG_POLL_SHARE: f64 = 0.5;
@@ -140,9 +143,8 @@
         self.scheduler.send(SchedulerMessage::DiscoveryReachable);
     }
 
-    /// Returns a random timeout for a long poll of the store, between a quarter and a half of
-    /// `propagation_bound`, so that changes of the polled topic reach the fleet within
-    /// `propagation_bound`.
+    /// Returns a random timeout for a long poll of the store, a share of `propagation_bound`, so that
+    /// changes of the polled topic reach the fleet within `propagation_bound`.
     ///
     /// The timeout is needed because a store may fail to wake a waiting read and a connection may
     /// hang without an error.
@@ -151,6 +153,27 @@
             .mul_f64(MAX_LONG_POLL_SHARE * rand::random_range(MIN_LONG_POLL_SHARE..1.0))
     }
 
+    /// Awaits a read of the store, for which the store may wait up to `max_wait`.
+    ///
+    /// If the answer is overdue, other instances learn that this one may not reach the store, so that
+    /// one of them polls in its place, and the read goes on.
+    pub async fn read<T>(
+        &self,
+        propagation_bound: Duration,
+        max_wait: Duration,
+        read: impl Future<Output = T>,
+    ) -> T {
+        let mut read = std::pin::pin!(read);
+        let overdue_after = max_wait + propagation_bound.mul_f64(OVERDUE_SHARE);
+        monoio::select! {
+            result = &mut read => return result,
+            () = sleep(overdue_after) => {}
+        }
+        log::info!("event=store_overdue ms={}", overdue_after.as_millis());
+        self.store_lost();
+        read.await
+    }
+
     /// Waits until this instance has to poll the store.
     ///
     /// Only a few instances that reach the store poll it, the watchers. The others learn of newer
@@ -165,6 +188,11 @@
             if self.must_poll(propagation_bound) {
                 sleep(MAX_TAKEOVER_DELAY.mul_f64(rand::random())).await;
                 if self.must_poll(propagation_bound) {
+                    log::info!(
+                        "event=store_polling_begun watchers_before={} confirmed_age_ms={:?}",
+                        self.knowledge.watcher_rank.get(),
+                        self.knowledge.configuration_confirmed_age_ms()
+                    );
                     return;
                 }
             }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -49,8 +49,8 @@
     /// because endpoints cannot renew them.
     pub(crate) endpoint_expiry: Duration,
     key: RefCell<Option<SharedKey>>,
-    /// The number of live instances that reach the store and have a lower address than this one;
-    /// the instances with the lowest ranks are the watchers, which poll the store.
+    /// The number of instances that reach the store and come before this one in the order of
+    /// watchers; those with the lowest ranks are the watchers, which poll the store.
     pub(crate) watcher_rank: Cell<u32>,
     /// The number of live instances, including this one.
     pub(crate) live_instances: Cell<u32>,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -24,7 +24,7 @@
 
 use self::{
     heartbeat::{Freshness, Heartbeat},
-    roster::{Received, Roster},
+    roster::{ReaderLimits, Received, Roster},
 };
 use crate::{
     knowledge::Knowledge,
@@ -42,6 +42,9 @@
 /// each topic within half of its own bound; where the bounds of the topics are equal, the rest
 /// allows for the delay of heartbeats.
 const MAX_STORE_READ_AGE_SHARE: f64 = 0.75;
+/// An instance also counts so only if it has been heard, by this instance or another one, within
+/// this share of the propagation bound; some heartbeats may be lost or late meanwhile.
+const MAX_READER_SILENCE_SHARE: f64 = 0.25;
 /// Delay before the next read of the heartbeat socket after a failed one.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// How long an instance waits for its own read of the store before it fetches a newer version
@@ -150,19 +153,18 @@
     let socket = Rc::new(UdpSocket::bind(address)?);
     let listener = TcpListener::bind(address)?;
     let (mailbox, rx) = Mailbox::new();
-    let max_store_read_age = propagation_bound.mul_f64(MAX_STORE_READ_AGE_SHARE);
+    let share_ms = |share| propagation_bound.mul_f64(share).as_millis() as u64;
+    let limits = ReaderLimits {
+        max_read_age_ms: share_ms(MAX_STORE_READ_AGE_SHARE),
+        max_silence_ms: share_ms(MAX_READER_SILENCE_SHARE),
+    };
     let peers = Peers {
         socket: Rc::clone(&socket),
         mailbox: mailbox.clone(),
         scheduler: scheduler.clone(),
         knowledge: Rc::clone(&knowledge),
         key: None,
-        roster: Roster::new(
-            address,
-            id_hash(zone),
-            rand::random(),
-            max_store_read_age.as_millis() as u64,
-        ),
+        roster: Roster::new(address, id_hash(zone), rand::random(), limits),
         start: Instant::now(),
         behind_since: None,
         is_fetching: false,
--- a/crates/gateway/src/peer/heartbeat.rs
+++ b/crates/gateway/src/peer/heartbeat.rs
@@ -20,8 +20,8 @@
     pub(super) local: LocalState,
     /// A rotating sample of the peers from which the sender has received heartbeats.
     pub(super) heard_peers: Vec<PeerId>,
-    /// The instances with the lowest addresses among those that the sender knows to reach the
-    /// store. In a large fleet, direct heartbeats from a watcher are rarer than its reads.
+    /// The first instances, in the order of watchers, that the sender knows to reach the store. In a
+    /// large fleet, direct heartbeats from a watcher are rarer than its reads.
     pub(super) store_readers: Vec<StoreReader>,
 }
 
@@ -29,6 +29,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct StoreReader {
     pub(super) peer: PeerId,
+    /// A hash of its availability zone.
+    pub(super) zone: u32,
+    /// The incarnation and counter of its newest heartbeat that the sender knows of.
+    pub(super) heartbeat: (u64, u64),
     /// The time since it last read all topics of the store, in milliseconds.
     pub(super) read_age_ms: u64,
 }
@@ -83,6 +87,8 @@
             heard_peers: vec![],
             store_readers: vec![StoreReader {
                 peer: ([127, 0, 0, 1], 7601).into(),
+                zone: 6,
+                heartbeat: (8, 3),
                 read_age_ms: 300,
             }],
         };
