gateway: an answer that ends with its connection before its body is no answer

Cut in the head, nothing passed for an answer here. One form did: an answer without a length or chunks whose connection is closed right after the head became a 200 with an empty body and Content-Length: 0.

Change: such a success has broken off, as a stream before its first event has already. An empty body that is meant has a length, a status without a body or an empty chunked body.

Test: retries::an_answer_that_is_cut_anywhere_never_looks_complete plays six answers (a length, chunks, neither; plain and streamed), each cut at every ninth byte and at each of the last 24, on new and on kept connections. It failed before at the end of the head of the plain answer without a length.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -493,6 +493,12 @@
         head: http::Response<()>,
     ) -> Result<EndpointResponse, AttemptFailure> {
         let body = match self.read_body(&mut upstream).await {
+            // Nothing tells a body that is empty from one that the endpoint did not begin.
+            Ok(body) if body.is_empty() && upstream.is_close_delimited() => {
+                let error = WireError::UnexpectedEof;
+                const CAUSE: &str = "the answer ended before its body";
+                return Err(self.connection_failed(grant, in_flight, CAUSE, &error));
+            }
             Ok(body) => body,
             Err(e) => {
                 return Err(self.connection_failed(grant, in_flight, "the answer broke off", &e));
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -62,6 +62,9 @@
     EventsUntilClose(u64, &'static str),
     /// Answers without a length; the body ends when the connection closes.
     UntilClose(&'static str),
+    /// Writes this many bytes of an answer, in which `{id}` stands for the request's id, and closes the
+    /// connection.
+    Truncated(&'static str, usize),
     /// Answers 200 and names this rate limit, in requests per second.
     RateLimited(&'static str, &'static str),
     /// Answers 200 and says that the endpoint is leaving.
@@ -303,6 +306,10 @@
                 write(stream, head).await;
                 false
             }
+            Script::Truncated(answer, len) => {
+                write(stream, answer.replace("{id}", &id)[..len].to_owned()).await;
+                false
+            }
             Script::RateLimited(per_s, body) => {
                 let header = format!("baobabvane-rate-limit: {per_s}\r\n");
                 write(stream, with_header(signed_answer(200, &id, body), &header)).await
--- a/crates/gateway/tests/testsuite/retries.rs
+++ b/crates/gateway/tests/testsuite/retries.rs
@@ -202,3 +202,75 @@
         assert_eq!(endpoint.received_requests().len(), 2);
     });
 }
+
+/// The head of a signed answer up to the headers that state the length of its body.
+macro_rules! head {
+    ($content_type:literal, $rest:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\nbaobabvane-signature: s\r\n",
+            "content-type: ",
+            $content_type,
+            "\r\n",
+            $rest
+        )
+    };
+}
+
+/// Returns the length of an answer up to which a cut shows, for a request with the id `r1`.
+fn shortest_complete(answer: &str) -> usize {
+    let answer = answer.replace("{id}", "r1");
+    let head_len = answer.find("\r\n\r\n").expect("the head has an end") + 4;
+    // Without a length, the first byte of the body may be all of it.
+    if answer.contains("content-length") || answer.contains("chunked") {
+        answer.len()
+    } else if answer.contains("event-stream") {
+        answer.find("\n\n").expect("the stream has an event").max(head_len) + 2
+    } else {
+        head_len + 1
+    }
+}
+
+/// Guards against an endpoint that stops in the middle of its answer and whose caller gets a part of
+/// it, or nothing, as a whole answer.
+#[test]
+fn an_answer_that_is_cut_anywhere_never_looks_complete() {
+    let answers = [
+        ("/postings/", head!("text/plain", "content-length: 4\r\n\r\ndone")),
+        (
+            "/postings/",
+            head!("text/plain", "transfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"),
+        ),
+        ("/postings/", head!("text/plain", "connection: close\r\n\r\ndone")),
+        ("/quotes/", head!("text/event-stream", "content-length: 16\r\n\r\nid: 1\ndata: 1\n\n\n")),
+        (
+            "/quotes/",
+            head!(
+                "text/event-stream",
+                "transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"
+            ),
+        ),
+        ("/quotes/", head!("text/event-stream", "\r\nid: 1\ndata: 1\n\n")),
+    ];
+    for (path, answer) in answers {
+        let complete = shortest_complete(answer);
+        // Each of the last bytes, and some of those before.
+        let lens = (0..=complete).filter(|len| len % 9 == 0 || complete - len < 24);
+        for (len, is_kept) in lens.flat_map(|len| [(len, false), (len, true)]) {
+            block_on(async {
+                let mut scripts = vec![Script::Truncated(answer, len)];
+                if is_kept {
+                    scripts.insert(0, Script::Answer(404, "first"));
+                }
+                let endpoint = Endpoint::spawn("e1", "desk", &scripts);
+                let gateway = GatewayFixture::start(&[&endpoint]).await;
+                if is_kept {
+                    assert_eq!(gateway.post(path).await.status, 404);
+                }
+                let mut caller = gateway.connect_caller().await;
+                let result = caller.request(Method::POST, path, &[]).await;
+                let looks_complete = result.is_ok_and(|answer| answer.status.is_success());
+                assert_eq!(looks_complete, len == complete, "{answer:?} cut at {len}");
+            });
+        }
+    }
+}
