gateway: configurations go to few peers at a time, and a peer in want reads the store

On the grown deployments most instances have a link of 10 Mbit/s, and a configuration of 1,450 routes has about 250 kB, so one of them sends five of these in a second. Where such an instance is a reader of the store, up to 32 peers fetch from it at the same time, with 1 s each: none gets the whole in time, and all begin anew.

Change: an instance sends its configuration to four peers at a time; the others are told that it is busy, and ask again, by then mostly another one that has it. An instance that stays behind for 0.4 of the bound reads the store itself. What a peer may send before it is known is bounded as well: a request has at most 1 KiB, where 8 MiB were allocated for any length that came, messages are received in steps, and accepted connections and datagrams take their turns as other input.

Tests: sync::few_peers_are_sent_the_configuration_at_a_time and a_request_that_says_to_be_large_is_rejected, feed::an_instance_that_stays_behind_polls_the_store_itself; none could pass before.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -14,7 +14,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use baobabvane_tasks::{CountGuard, spawn_isolated};
+use baobabvane_tasks::{CountGuard, Turn, spawn_isolated};
 use baobabvane_wire::{Limits, Request, ServerConn, WireError};
 use monoio::{
     net::{TcpListener, TcpStream},
@@ -49,7 +49,10 @@
 
 /// Accepts callers' connections until the process ends and serves each in its own task.
 pub(crate) async fn accept_connections(listener: TcpListener, cx: Rc<Context>) {
+    let mut turn = Turn::default();
     loop {
+        turn.pause_if_spent().await;
+        turn.spend(0);
         match listener.accept().await {
             Ok((stream, _)) => {
                 spawn_isolated("caller", serve_connection(stream, Rc::clone(&cx)));
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -41,6 +41,9 @@
 /// The age, in propagation bounds, up to which an instance that does not poll relies on the last
 /// confirmation of its configuration.
 const MAX_CONFIRMATION_AGE_IN_BOUNDS: u32 = 2;
+/// The share of the propagation bound after which an instance that a peer cannot bring up to date
+/// reads the store itself.
+const MAX_BEHIND_SHARE: f64 = 0.4;
 /// How often a watcher checks for prompt parts that it has to keep in the store.
 const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// How often an instance checks whether the store has come back from an older copy.
@@ -177,8 +180,8 @@
     /// Waits until this instance has to poll the store.
     ///
     /// Only a few instances that reach the store poll it, the watchers. The others learn of newer
-    /// versions from heartbeats, fetch them from peers, and poll only when the configuration has
-    /// not been confirmed for twice `propagation_bound`.
+    /// versions from heartbeats, fetch them from peers, and poll only when peers are too slow with
+    /// that, or when the configuration has not been confirmed for twice `propagation_bound`.
     pub async fn until_must_poll(&self, propagation_bound: Duration) {
         if self.must_poll(propagation_bound) {
             return;
@@ -231,7 +234,11 @@
 
     fn must_poll(&self, propagation_bound: Duration) -> bool {
         let is_watcher = self.knowledge.watcher_rank.get() < WATCHER_COUNT;
+        let behind_since = self.knowledge.behind_since.get();
+        let is_behind = behind_since
+            .is_some_and(|at| at.elapsed() > propagation_bound.mul_f64(MAX_BEHIND_SHARE));
         is_watcher
+            || is_behind
             || !self
                 .knowledge
                 .is_confirmed_within(propagation_bound * MAX_CONFIRMATION_AGE_IN_BOUNDS)
@@ -284,4 +291,22 @@
         feed.configuration_confirmed();
         assert_eq!(knowledge.store_read_age_ms(), None);
     }
+
+    /// Guards against an instance that waits for peers that cannot send it the configuration.
+    #[test]
+    fn an_instance_that_stays_behind_polls_the_store_itself() {
+        let (scheduler, _scheduler_rx) = Mailbox::new();
+        let (peers, _peers_rx) = Mailbox::new();
+        let knowledge = Rc::new(Knowledge::new(scheduler.clone(), Duration::from_secs(4)));
+        let feed = Feed { knowledge: Rc::clone(&knowledge), scheduler, peers };
+        let bound = Duration::from_secs(10);
+        feed.configuration_confirmed();
+        knowledge.watcher_rank.set(WATCHER_COUNT);
+        knowledge.behind_since.set(Some(Instant::now()));
+        assert!(!feed.must_poll(bound));
+        knowledge.behind_since.set(Instant::now().checked_sub(bound / 2));
+        assert!(feed.must_poll(bound));
+        knowledge.behind_since.set(None);
+        assert!(!feed.must_poll(bound));
+    }
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -54,6 +54,8 @@
     pub(crate) watcher_rank: Cell<u32>,
     /// The number of live instances, including this one.
     pub(crate) live_instances: Cell<u32>,
+    /// Since when a live peer has had a newer configuration than this instance.
+    pub(crate) behind_since: Cell<Option<Instant>>,
     scheduler: Mailbox<SchedulerMessage>,
 }
 
@@ -87,6 +89,7 @@
             key: RefCell::new(None),
             watcher_rank: Cell::new(0),
             live_instances: Cell::new(1),
+            behind_since: Cell::new(None),
             scheduler,
         }
     }
@@ -218,7 +221,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Snapshot {
     pub(crate) versions: Versions,
-    /// The configuration; `None` if the receiver's is not older.
+    /// The configuration; `None` if the receiver's is not older, or if the sender is busy with
+    /// sending it to others.
     pub(crate) configuration: Option<Configuration>,
     /// The endpoint list; `None` if the receiver's is not older, or if the sender's scheduler did
     /// not return it.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,7 +14,7 @@
 
 use baobabvane_decide::{CrashReport, EndpointLoad, Rank, RateLimitReport};
 use baobabvane_members::SharedKey;
-use baobabvane_tasks::Mailbox;
+use baobabvane_tasks::{Mailbox, Turn};
 use local_sync::mpsc::unbounded;
 use monoio::{
     net::{TcpListener, udp::UdpSocket},
@@ -178,11 +178,16 @@
 
 async fn receive(socket: Rc<UdpSocket>, to: Mailbox<PeersMessage>) {
     let mut buf = vec![0; MAX_HEARTBEAT_BYTES];
+    let mut turn = Turn::default();
     loop {
+        turn.pause_if_spent().await;
         let (result, returned) = socket.recv_from(buf).await;
         buf = returned;
         match result {
-            Ok((len, _)) => to.send(PeersMessage::Datagram(buf[..len].to_vec())),
+            Ok((len, _)) => {
+                turn.spend(len);
+                to.send(PeersMessage::Datagram(buf[..len].to_vec()));
+            }
             // A previous send to a stopped peer can surface as an error here. The pause prevents a
             // busy loop should the socket itself fail.
             Err(e) => {
@@ -299,6 +304,9 @@
     /// within [`FETCH_DELAY`].
     fn catch_up(&mut self) {
         let versions = self.knowledge.versions();
+        let is_behind = self.roster.has_newer_configuration(versions, self.now_ms());
+        let behind_since = self.knowledge.behind_since.get().filter(|_| is_behind);
+        self.knowledge.behind_since.set(behind_since.or(is_behind.then(Instant::now)));
         let Some(ahead) = self.roster.random_peer_ahead_of(versions, self.now_ms(), rand::random())
         else {
             self.behind_since = None;
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -335,6 +335,12 @@
         has_read && is_heard
     }
 
+    /// Returns whether a live peer has a newer configuration.
+    pub(super) fn has_newer_configuration(&self, own: Versions, now_ms: u64) -> bool {
+        let mut live = self.peers.values().filter(|p| self.is_live(p, now_ms));
+        live.any(|p| p.versions.configuration > own.configuration)
+    }
+
     /// Returns a live peer that has a newer version, selected by `draw` in `0.0..1.0`.
     pub(super) fn random_peer_ahead_of(
         &self,
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -1,13 +1,15 @@
 //! Transfers the configuration and the endpoint list between instances over TCP.
 //!
-//! Each message is authenticated with the fleet's key and preceded by its length.
+//! Each message is authenticated with the fleet's key and preceded by its length. An instance sends
+//! few configurations at a time, since a slow link that many peers share would let none of them
+//! arrive in time; the others are told that it is busy, and ask a peer that has it by then.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_members::{MessageError, SharedKey, decode_authenticated, encode_authenticated};
-use baobabvane_tasks::{Mailbox, spawn_isolated};
+use baobabvane_tasks::{CountGuard, Mailbox, Turn, spawn_isolated};
 use monoio::{
-    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
@@ -23,8 +25,14 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// The maximum size of a message, enough for some thousand routes.
-const MAX_MESSAGE_BYTES: u32 = 8 * 1024 * 1024;
+/// The maximum size of a snapshot, enough for some thousand routes.
+const MAX_SNAPSHOT_BYTES: u32 = 8 * 1024 * 1024;
+/// The maximum size of a request for a snapshot.
+const MAX_REQUEST_BYTES: u32 = 1024;
+/// The most configurations that are sent at a time.
+const MAX_CONCURRENT_CONFIGURATIONS: usize = 4;
+/// How many bytes of a message are received before memory for more is allocated.
+const RECEIVE_STEP_BYTES: usize = 64 * 1024;
 
 /// Asks a peer for all that is newer than the versions of the sender.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -52,7 +60,11 @@
     knowledge: Rc<Knowledge>,
     scheduler: Mailbox<SchedulerMessage>,
 ) {
+    let mut turn = Turn::default();
+    let sending = Rc::new(Cell::new(0));
     loop {
+        turn.pause_if_spent().await;
+        turn.spend(0);
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(e) => {
@@ -62,8 +74,9 @@
             }
         };
         let (knowledge, scheduler) = (Rc::clone(&knowledge), scheduler.clone());
+        let sending = Rc::clone(&sending);
         spawn_isolated("peer", async move {
-            let reply = serve_request(stream, &knowledge, &scheduler);
+            let reply = serve_request(stream, &knowledge, &scheduler, &sending);
             let result = timeout(FETCH_TIMEOUT, reply).await.unwrap_or(Err(SyncError::TimedOut));
             if let Err(e) = result {
                 log::warn!("event=peer_answer_failed peer={peer} error={:?}", e.to_string());
@@ -76,19 +89,25 @@
     mut stream: TcpStream,
     knowledge: &Knowledge,
     scheduler: &Mailbox<SchedulerMessage>,
+    sending: &Cell<usize>,
 ) -> Result<(), SyncError> {
     let key = knowledge.key().ok_or(SyncError::NoKey)?;
-    let bytes = read_message(&mut stream).await?;
+    let bytes = read_message(&mut stream, MAX_REQUEST_BYTES).await?;
     let request: SnapshotRequest = decode_authenticated(&bytes, &key)?;
     let versions = knowledge.versions();
-    let configuration = (versions.configuration > request.versions.configuration)
-        .then(|| (*knowledge.configuration()).clone());
+    let is_newer = versions.configuration > request.versions.configuration;
+    let is_sent = is_newer && sending.get() < MAX_CONCURRENT_CONFIGURATIONS;
+    let _counted = is_sent.then(|| CountGuard::new(sending));
+    let configuration = is_sent.then(|| (*knowledge.configuration()).clone());
     let endpoints = match versions.endpoints > request.versions.endpoints {
         true => scheduler.ask(SchedulerMessage::ListEndpoints).await,
         false => None,
     };
     let snapshot = Snapshot { versions, configuration, endpoints };
-    write_message(&mut stream, &snapshot, &key).await
+    write_message(&mut stream, &snapshot, &key).await?;
+    // The configuration counts as being sent until the peer has it.
+    let _ = stream.read(vec![0; 1]).await;
+    Ok(())
 }
 
 /// Fetches a snapshot from a peer and applies its newer parts.
@@ -97,8 +116,9 @@
     match fetched.unwrap_or(Err(SyncError::TimedOut)) {
         Ok(snapshot) => {
             log::info!(
-                "event=fetched_from_peer peer={peer} version={} endpoints={:?}",
+                "event=fetched_from_peer peer={peer} version={} sent={} endpoints={:?}",
                 snapshot.versions.configuration,
+                snapshot.configuration.is_some(),
                 snapshot.endpoints.as_ref().map(|list| list.endpoints.len())
             );
             knowledge.apply_peer_snapshot(snapshot);
@@ -111,17 +131,24 @@
     let key = knowledge.key().ok_or(SyncError::NoKey)?;
     let mut stream = TcpStream::connect_addr(peer).await?;
     write_message(&mut stream, &SnapshotRequest { versions: knowledge.versions() }, &key).await?;
-    let bytes = read_message(&mut stream).await?;
+    let bytes = read_message(&mut stream, MAX_SNAPSHOT_BYTES).await?;
     Ok(decode_authenticated(&bytes, &key)?)
 }
 
-async fn read_message(stream: &mut TcpStream) -> Result<Vec<u8>, SyncError> {
+async fn read_message(stream: &mut TcpStream, max_bytes: u32) -> Result<Vec<u8>, SyncError> {
     let len = stream.read_u32().await?;
-    if len > MAX_MESSAGE_BYTES {
+    if len > max_bytes {
         return Err(SyncError::TooLarge(len));
     }
-    let (result, bytes) = stream.read_exact(vec![0; len as usize]).await;
-    result?;
+    let mut turn = Turn::default();
+    let mut bytes = Vec::new();
+    while bytes.len() < len as usize {
+        turn.pause_if_spent().await;
+        let step = RECEIVE_STEP_BYTES.min(len as usize - bytes.len());
+        let (result, received) = stream.read_exact(vec![0; step]).await;
+        turn.spend(result?);
+        bytes.extend_from_slice(&received);
+    }
     Ok(bytes)
 }
 
@@ -136,3 +163,77 @@
     stream.write_all(bytes).await.0?;
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use monoio::time::Instant;
+
+    use super::*;
+    use crate::configuration::Configuration;
+
+    fn knowledge(version: u64, key: &SharedKey) -> Rc<Knowledge> {
+        let (scheduler, _) = Mailbox::new();
+        let knowledge = Rc::new(Knowledge::new(scheduler, Duration::ZERO));
+        knowledge.set_key(key.clone());
+        knowledge.apply_configuration(Configuration { version, ..Default::default() }, "test");
+        knowledge
+    }
+
+    fn block_on(test: impl Future<Output = ()>) {
+        let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+            .enable_timer()
+            .build()
+            .expect("the runtime can create its epoll descriptor");
+        runtime.block_on(test);
+    }
+
+    fn spawn_server(key: &SharedKey) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("the OS assigns a free port");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let (scheduler, _) = Mailbox::new();
+        monoio::spawn(serve(listener, knowledge(7, key), scheduler));
+        address
+    }
+
+    /// Guards against a link that many peers share, so that none gets the configuration in time.
+    #[test]
+    fn few_peers_are_sent_the_configuration_at_a_time() {
+        let key = SharedKey::new("secret");
+        block_on(async {
+            let server = spawn_server(&key);
+            let mut receiving = Vec::new();
+            for i in 0..MAX_CONCURRENT_CONFIGURATIONS + 2 {
+                let mut stream = TcpStream::connect_addr(server).await.unwrap();
+                let request = SnapshotRequest { versions: Versions::default() };
+                write_message(&mut stream, &request, &key).await.unwrap();
+                let bytes = read_message(&mut stream, MAX_SNAPSHOT_BYTES).await.unwrap();
+                let snapshot: Snapshot = decode_authenticated(&bytes, &key).unwrap();
+                assert_eq!(snapshot.versions.configuration, 7);
+                let is_sent = snapshot.configuration.is_some();
+                assert_eq!(is_sent, i < MAX_CONCURRENT_CONFIGURATIONS, "{i}");
+                receiving.push(stream);
+            }
+            receiving.clear();
+            let own = knowledge(1, &key);
+            let began = Instant::now();
+            while own.versions().configuration < 7 {
+                assert!(began.elapsed() < FETCH_TIMEOUT * 5);
+                fetch(server, Rc::clone(&own)).await;
+            }
+        });
+    }
+
+    /// Guards against memory that is allocated for a message of which nothing but the length came.
+    #[test]
+    fn a_request_that_says_to_be_large_is_rejected() {
+        let key = SharedKey::new("secret");
+        block_on(async {
+            let server = spawn_server(&key);
+            let mut stream = TcpStream::connect_addr(server).await.unwrap();
+            let len = (MAX_REQUEST_BYTES + 1).to_be_bytes().to_vec();
+            stream.write_all(len).await.0.unwrap();
+            let (read, _) = stream.read(vec![0; 1]).await;
+            assert!(matches!(read, Ok(0) | Err(_)));
+        });
+    }
+}
