gateway: bodies of requests share a part of the memory

Callers saw: connections that closed without an answer, as a burst of requests with bodies of 4 MiB took the process over its memory limit.

Cause: each body is read whole, up to maxBodyBytes, and nothing bounded their sum.

A request reserves its part before its body is read, so that one that was begun can be read to its end; the kernel holds the sender back meanwhile. After half a second without room the answer is 503 with Retry-After: 1, and the connection is drained for up to 2 s so that the caller can read it. A body of known length is read into one allocation.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -84,6 +84,7 @@
     let (status, title) = match error {
         WireError::HeadTooLarge { .. } => (431, "head too large"),
         WireError::BodyTooLarge { .. } => (413, "body too large"),
+        WireError::NoMemoryForBody { .. } => (503, "too many large requests"),
         WireError::TimedOut { .. } => (408, "request too slow"),
         WireError::Malformed(_) | WireError::Framing(_) => (400, "malformed request"),
         WireError::Io(_) | WireError::UnexpectedEof => return,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -79,7 +79,8 @@
 
 async fn serve_connection(stream: TcpStream, cx: Rc<Context>) {
     let _counted = CountGuard::new(&cx.caller_connections);
-    let mut conn = ServerConn::new(stream, connection_limits(&cx));
+    let mut conn = ServerConn::new(stream, connection_limits(&cx))
+        .with_body_budget(Rc::clone(&cx.body_budget));
     let mut is_new = true;
     loop {
         if !wait_for_request(&cx, &mut conn, is_new).await {
--- a/crates/gateway/src/caller/reply.rs
+++ b/crates/gateway/src/caller/reply.rs
@@ -6,6 +6,9 @@
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, StatusCode, header};
 
+/// `Retry-After` when large bodies of other requests take all memory for bodies.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Builder of a response that does not come from an endpoint.
 pub(super) struct LocalReply {
     res: Response,
@@ -52,9 +55,14 @@
             (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
         }
         WireError::BodyTooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        WireError::NoMemoryForBody { .. } => {
+            (StatusCode::SERVICE_UNAVAILABLE, "too many large requests at a time")
+        }
         WireError::TimedOut { .. } => {
             (StatusCode::REQUEST_TIMEOUT, "the request took too long to arrive")
         }
     };
-    Some(LocalReply::new(status, reason).build())
+    let retry_after =
+        matches!(error, WireError::NoMemoryForBody { .. }).then_some(NO_MEMORY_RETRY_AFTER);
+    Some(LocalReply::new(status, reason).retry_after(retry_after).build())
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,6 +8,7 @@
 
 use baobabvane_decide::Ticket;
 use baobabvane_tasks::Mailbox;
+use baobabvane_wire::BodyBudget;
 
 use crate::{
     drain::Drain, headers::HeaderNames, knowledge::Knowledge, links::EndpointConnections,
@@ -28,6 +29,8 @@
     pub(crate) active_requests: Cell<usize>,
     /// Open connections of callers, idle ones included.
     pub(crate) caller_connections: Cell<usize>,
+    /// Memory for the bodies of requests.
+    pub(crate) body_budget: Rc<BodyBudget>,
     /// Bytes of response bodies that are being read from endpoints.
     pub(crate) buffered_bytes: Cell<usize>,
     last_ticket: Cell<u64>,
@@ -41,6 +44,7 @@
         scheduler: Mailbox<SchedulerMessage>,
         max_configuration_age: Duration,
         grace: Duration,
+        body_budget: Rc<BodyBudget>,
     ) -> Self {
         Self {
             header_names,
@@ -51,6 +55,7 @@
             drain: Drain::new(grace),
             active_requests: Cell::new(0),
             caller_connections: Cell::new(0),
+            body_budget,
             buffered_bytes: Cell::new(0),
             last_ticket: Cell::new(0),
             rng: RefCell::new(rand::make_rng()),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use baobabvane_decide::Policy;
 use baobabvane_tasks::{Mailbox, StopHandle, listen};
+use baobabvane_wire::BodyBudget;
 use monoio::{
     net::TcpListener,
     time::{Instant, sleep},
@@ -25,6 +26,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How often expired idle connections to endpoints are closed and gauges are updated.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+/// The share of the memory that is for the bodies of requests, as a divisor.
+const BODY_MEMORY_DIVISOR: usize = 4;
+
 /// The settings of an instance, fixed at its start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GatewaySettings {
@@ -55,6 +59,8 @@
     /// expired, in milliseconds.
     #[serde(rename = "lapse_ms")]
     pub endpoint_expiry_ms: u64,
+    /// The memory that the process may use, in bytes; a quarter of it is for the bodies of requests.
+    pub memory_bytes: usize,
 }
 
 /// A gateway instance; the type parameter is its lifecycle state, [`Bound`] or [`Serving`].
@@ -140,7 +146,8 @@
         let max_age = Duration::from_millis(settings.configuration_max_age_ms);
         let feed = Feed { knowledge: Rc::clone(&knowledge), scheduler: scheduler.clone(), peers };
         let grace = Duration::from_millis(settings.grace_ms);
-        let cx = Rc::new(Context::new(names, knowledge, scheduler, max_age, grace));
+        let body_budget = BodyBudget::new(settings.memory_bytes / BODY_MEMORY_DIVISOR);
+        let cx = Rc::new(Context::new(names, knowledge, scheduler, max_age, grace, body_budget));
         monoio::spawn(caller::accept_connections(state.callers, Rc::clone(&cx)));
         monoio::spawn(ready::serve_ready(state.ready, Rc::clone(&cx)));
         if let Some(listener) = state.metrics {
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -1,7 +1,7 @@
 //! Tests of request forwarding, configuration, API keys, quotas, readiness, cancellation, draining
 //! endpoints, malformed messages and the timeout of long polls.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use baobabvane_gateway::{Configuration, Quota, QuotaUnit, Semantics};
 use http::Method;
@@ -9,7 +9,9 @@
 
 use crate::{
     endpoint::{Endpoint, Script},
-    fixture::{GatewayFixture, block_on, events, eventually, organisation, route},
+    fixture::{
+        GatewayFixture, HOST, MEMORY_BYTES, block_on, events, eventually, organisation, route,
+    },
 };
 
 #[test]
@@ -224,3 +226,40 @@
         assert_eq!((endpoint.received_requests().len(), endpoint.cancelled_requests()), (1, 0));
     });
 }
+
+/// Guards against large bodies of many requests that together exceed the memory of the process.
+#[test]
+fn large_bodies_share_a_part_of_the_memory() {
+    const BODY_BYTES: usize = 4 << 20;
+    const FITTING: usize = MEMORY_BYTES / 4 / BODY_BYTES;
+    block_on(async {
+        let endpoint = Endpoint::spawn("e1", "desk", &[Script::Hang]);
+        let gateway = Rc::new(GatewayFixture::start(&[]).await);
+        let mut entry = endpoint.entry.clone();
+        entry.slots = 100;
+        gateway.list_entries(vec![entry]);
+        let upload = || {
+            let gateway = Rc::clone(&gateway);
+            monoio::spawn(async move {
+                let mut caller = gateway.connect_caller().await;
+                let headers = [("host", HOST), ("baobabvane-request-id", "r1")]
+                    .map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap()));
+                let headers = headers.into_iter().collect();
+                let body = vec![b'x'; BODY_BYTES].into();
+                caller.send_body(Method::POST, "/postings/", &headers, body).await.unwrap();
+                let answer = caller.read_answer(&Method::POST).await.unwrap();
+                (answer.status.as_u16(), answer.headers.contains_key("retry-after"))
+            })
+        };
+        let fitting: Vec<_> = (0..FITTING).map(|_| upload()).collect();
+        eventually(|| endpoint.received_requests().len() == FITTING).await;
+        for request in (0..3).map(|_| upload()).collect::<Vec<_>>() {
+            assert_eq!(request.await, (503, true));
+        }
+        // Small requests need none of that memory.
+        let mut small = gateway.connect_caller().await;
+        small.send(Method::POST, "/postings/", &[]).await.unwrap();
+        eventually(|| endpoint.received_requests().len() == FITTING + 1).await;
+        drop(fitting);
+    });
+}
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -22,6 +22,9 @@
 /// than the memory of the smallest instance.
 pub(crate) const MAX_ENDLESS_BYTES: usize = 32 << 20;
 
+/// The memory that the gateway may use.
+pub(crate) const MEMORY_BYTES: usize = 64 << 20;
+
 /// Runs a future to completion on monoio's legacy (epoll) driver.
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
@@ -130,6 +133,7 @@
             configuration_max_age_ms: 60_000,
             propagation_bound_ms: 2_000,
             endpoint_expiry_ms: 2_400,
+            memory_bytes: MEMORY_BYTES,
         })
         .expect("the OS assigns a free port");
         let caller_address = gateway.caller_address().expect("a bound socket has an address");
@@ -224,7 +228,17 @@
             map.insert(HeaderName::from_static(name), value);
         }
         let body = if method == Method::POST { Bytes::from_static(b"body") } else { Bytes::new() };
-        self.conn.send(&method, &path.parse().expect("a path"), &map, body).await
+        self.send_body(method, path, &map, body).await
+    }
+
+    pub(crate) async fn send_body(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<(), WireError> {
+        self.conn.send(&method, &path.parse().expect("a path"), headers, body).await
     }
 
     pub(crate) async fn read_answer(&mut self, method: &Method) -> Result<Answer, WireError> {
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -92,6 +92,9 @@
             return Ok(first);
         }
         let mut body = bytes::BytesMut::from(first);
+        if let Self::Length(decoder) = self {
+            body.reserve(decoder.remaining);
+        }
         while let Some(piece) = self.next_piece(framed).await? {
             body.extend_from_slice(&piece);
             if body.len() > max_bytes {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -31,6 +31,12 @@
         /// The size limit, in bytes.
         limit: usize,
     },
+    /// The bodies of other requests take the memory that there is for bodies.
+    #[error("no memory is free for a body of {bytes} bytes")]
+    NoMemoryForBody {
+        /// The memory that was asked for, in bytes.
+        bytes: usize,
+    },
     /// An operation exceeded its timeout.
     #[error("timed out while {operation}")]
     TimedOut {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! another request, and returns the response body incrementally.
 
 mod body;
+mod budget;
 mod chunked;
 mod client;
 mod decode;
@@ -18,6 +19,7 @@
 mod paced;
 mod server;
 
+pub use budget::BodyBudget;
 pub use client::{ClientConn, Connector};
 pub use error::WireError;
 pub use hop::remove_hop_by_hop;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -2,14 +2,14 @@
 //!
 //! [`Limits`] bounds the size of a request, the time to read it, and the time of each write.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
 use monoio::{
     io::{AsyncWriteRent, AsyncWriteRentExt, stream::Stream},
     net::TcpStream,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 use monoio_codec::FramedRead;
 use monoio_http::h1::codec::decoder::RequestHeadDecoder;
@@ -17,6 +17,7 @@
 use crate::{
     Request, WireError,
     body::BodyReader,
+    budget::{BodyBudget, BodyPermit},
     decode::{Framing, StrictHeadDecoder, parse_framing},
     encode::{self, BodyLength, LAST_CHUNK},
     paced::PacedStream,
@@ -59,6 +60,9 @@
     keep_alive: bool,
     request_started_at: Instant,
     write_buf: Vec<u8>,
+    body_budget: Option<Rc<BodyBudget>>,
+    /// The memory for the body of the latest request, until its response is written.
+    body_permit: Option<BodyPermit>,
 }
 
 impl ServerConn {
@@ -75,9 +79,19 @@
             keep_alive: true,
             request_started_at: Instant::now(),
             write_buf: Vec::new(),
+            body_budget: None,
+            body_permit: None,
         }
     }
 
+    /// Reserves the memory for large bodies of requests from a budget, before they are read.
+    ///
+    /// If too little is free for some time, [`ServerConn::read_request`] fails.
+    pub fn with_body_budget(mut self, budget: Rc<BodyBudget>) -> Self {
+        self.body_budget = Some(budget);
+        self
+    }
+
     /// Waits for the first byte of a request.
     ///
     /// Returns false when the idle timeout expires, and true when bytes have arrived or
@@ -101,6 +115,7 @@
     ///
     /// When the request is invalid, exceeds a limit or a timeout, or is incomplete.
     pub async fn read_request(&mut self) -> Result<Option<Request>, WireError> {
+        self.body_permit = None;
         if !self.keep_alive {
             return Ok(None);
         }
@@ -119,6 +134,7 @@
         };
         self.keep_alive = wants_keep_alive(head.version, &head.headers);
         self.check_content_length(framing)?;
+        self.body_permit = self.reserve_body(framing).await?;
         self.send_continue_if_expected(&head.headers, framing).await?;
         let mut body = BodyReader::new(framing, self.limits.body_bytes);
         let read_body = body.read_to_end(&mut self.framed, self.limits.body_bytes);
@@ -126,6 +142,9 @@
             Ok(body) => body?,
             Err(_) => return Err(WireError::TimedOut { operation: "reading the body" }),
         };
+        if let Some(permit) = &mut self.body_permit {
+            permit.shrink_to(body.len());
+        }
         Ok(Some(Request::from_parts(head, body)))
     }
 
@@ -140,7 +159,9 @@
         };
         encode::write_response_head(&mut buf, head.status, &head.headers, length);
         buf.extend_from_slice(&body);
-        self.write_all(buf).await
+        let written = self.write_all(buf).await;
+        self.body_permit = None;
+        written
     }
 
     /// Writes the head of a chunked response; [`ServerConn::write_chunk`] adds the body.
@@ -165,7 +186,9 @@
     pub async fn end_stream(&mut self) -> Result<(), WireError> {
         let mut buf = std::mem::take(&mut self.write_buf);
         buf.extend_from_slice(LAST_CHUNK);
-        self.write_all(buf).await
+        let written = self.write_all(buf).await;
+        self.body_permit = None;
+        written
     }
 
     /// Disables keep-alive, so that the next response is the last one on the connection.
@@ -230,6 +253,26 @@
         }
     }
 
+    /// Waits for memory for a body; small ones need no permit.
+    async fn reserve_body(&self, framing: Framing) -> Result<Option<BodyPermit>, WireError> {
+        let bytes = match framing {
+            Framing::Length(bytes) => bytes,
+            Framing::Chunked => self.limits.body_bytes,
+            Framing::Empty | Framing::NoLength => 0,
+        };
+        let Some(budget) = self.body_budget.as_ref().filter(|_| bytes > SMALL_BODY_BYTES) else {
+            return Ok(None);
+        };
+        let asked_at = Instant::now();
+        loop {
+            match budget.reserve(bytes) {
+                Some(permit) => return Ok(Some(permit)),
+                None if asked_at.elapsed() < MAX_MEMORY_WAIT => sleep(MEMORY_POLL_INTERVAL).await,
+                None => return Err(WireError::NoMemoryForBody { bytes }),
+            }
+        }
+    }
+
     async fn send_continue_if_expected(
         &mut self,
         headers: &HeaderMap,
@@ -265,8 +308,13 @@
     }
 }
 
+/// Largest body that needs no permit.
+const SMALL_BODY_BYTES: usize = 16 * 1024;
+/// Longest wait for memory for a body; the caller waits meanwhile, and may send elsewhere after.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
-const MAX_LINGER_READS: usize = 256;
+const MAX_LINGER_READS: usize = 2048;
 const MAX_RETAINED_BUFFER_BYTES: usize = 4096;
 
 fn wants_keep_alive(version: Version, headers: &HeaderMap) -> bool {
