--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -3,7 +3,7 @@
 
 use std::{path::Path, time::Duration};
 
-use baobabvane_standin::{Caller, Fleet, GatewayProcess, ProxyFault, Received, StoreFault};
+use baobabvane_standin::{Caller, Fleet, GatewayProcess, ProxyFault, Received, Store, StoreFault};
 use http::{Method, StatusCode};
 use monoio::time::{Instant, sleep};
 
@@ -174,6 +174,34 @@
     fleet.remove_folder();
 }
 
+/// Guards against a reader that looks for a configuration, which the store no longer has, without a
+/// pause.
+#[test]
+fn a_store_that_comes_back_empty_is_read_as_often_as_before() {
+    const MAX_CALLS: u64 = 50;
+    let mut fleet = spawn_fleet(3);
+    block_on(async {
+        wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
+        wait_for_peers(&fleet).await;
+        // The last gateway's own read has ended by then, and it learns of this configuration from
+        // the others.
+        sleep(Duration::from_millis(1_500)).await;
+        fleet.configure(&["k2"]);
+        wait_for_status_on_all(&fleet, "k2", "/read/1", StatusCode::OK).await;
+        fleet.store.restore(Store::spawn().copy());
+        for gateway in &mut fleet.gateways[..2] {
+            gateway.signal("KILL");
+            gateway.wait();
+        }
+        sleep(Duration::from_secs(2)).await;
+        let calls = fleet.store.calls();
+        sleep(Duration::from_secs(2)).await;
+        let calls = fleet.store.calls() - calls;
+        assert!(calls < MAX_CALLS, "{calls} calls in 2 s");
+    });
+    fleet.remove_folder();
+}
+
 #[test]
 fn a_gateway_that_starts_without_the_store_is_not_ready() {
     let mut fleet = spawn_fleet(1);
