gateway, entry: every accept and receive loop reads in turns

The probe listener, the daemon's listeners and its heartbeats now read in turns, as those of the gateway do. Not shown with a test of its own: Turn has one.

Also, an answer of an endpoint that is no success keeps its empty body without a length; only a success counts as broken off then.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use baobabvane_domain::{PROBLEM_MEDIA_TYPE, Problem, Verdict};
-use baobabvane_tasks::CountGuard;
+use baobabvane_tasks::{CountGuard, Turn};
 use baobabvane_wire::{Request as HttpRequest, Response, ServerConn, WireError};
 use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header};
@@ -35,7 +35,10 @@
 /// Accepts callers' connections, up to `max_connections` at once. It never returns; the task ends
 /// with the process.
 pub(crate) async fn accept(listener: TcpListener, cx: Rc<Context>) {
+    let mut turn = Turn::default();
     loop {
+        turn.pause_if_spent().await;
+        turn.spend(0);
         match listener.accept().await {
             Ok((stream, _)) if cx.connections.get() < cx.settings.max_connections => {
                 monoio::spawn(serve(stream, Rc::clone(&cx)));
--- a/crates/entry/src/operator/connection.rs
+++ b/crates/entry/src/operator/connection.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use baobabvane_domain::{Problem, ResourceType};
+use baobabvane_tasks::Turn;
 use baobabvane_wire::{Request as HttpRequest, Response, ServerConn};
 use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header};
@@ -26,7 +27,10 @@
 
 /// Accepts connections and serves each in its own task.
 pub(crate) async fn accept(listener: TcpListener, cx: Rc<OperatorContext>) {
+    let mut turn = Turn::default();
     loop {
+        turn.pause_if_spent().await;
+        turn.spend(0);
         match listener.accept().await {
             Ok((stream, _)) => {
                 monoio::spawn(serve_connection(stream, Rc::clone(&cx)));
--- a/crates/entry/src/peer/incoming.rs
+++ b/crates/entry/src/peer/incoming.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use baobabvane_members::SharedKey;
-use baobabvane_tasks::Mailbox;
+use baobabvane_tasks::{Mailbox, Turn};
 use local_sync::mpsc::unbounded;
 use monoio::{
     net::{TcpListener, TcpStream},
@@ -30,7 +30,10 @@
 /// or closes.
 pub(crate) async fn accept(listener: TcpListener, key: SharedKey, scheduler: Mailbox<ToScheduler>) {
     let next = Rc::new(Cell::new(0));
+    let mut turn = Turn::default();
     while let Ok((stream, _)) = listener.accept().await {
+        turn.pause_if_spent().await;
+        turn.spend(0);
         next.set(next.get() + 1);
         let id = ConnId(next.get());
         let (key, scheduler) = (key.clone(), scheduler.clone());
--- a/crates/entry/src/tasks/members.rs
+++ b/crates/entry/src/tasks/members.rs
@@ -4,7 +4,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use baobabvane_members::{DatagramCounts, Membership, Peer, Roster, SharedKey};
-use baobabvane_tasks::Mailbox;
+use baobabvane_tasks::{Mailbox, Turn};
 use local_sync::{mpsc::unbounded, oneshot};
 use monoio::{net::udp::UdpSocket, time::Instant};
 
@@ -70,8 +70,11 @@
 }
 
 async fn receive(socket: Rc<UdpSocket>, mailbox: Mailbox<ToMembers>) {
+    let mut turn = Turn::default();
     loop {
+        turn.pause_if_spent().await;
         let (result, buf) = socket.recv_from(vec![0; MAX_DATAGRAM_BYTES]).await;
+        turn.spend(*result.as_ref().map_or(&0, |(len, _)| len));
         // A datagram to a stopped peer can make a later receive fail; such errors are ignored.
         if let Ok((len, _)) = result {
             mailbox.send(ToMembers::DatagramReceived(buf[..len].to_vec()));
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -492,9 +492,10 @@
         mut upstream: ClientConn,
         head: http::Response<()>,
     ) -> Result<EndpointResponse, AttemptFailure> {
+        let is_success = head.status().is_success();
         let body = match self.read_body(&mut upstream).await {
             // Nothing tells a body that is empty from one that the endpoint did not begin.
-            Ok(body) if body.is_empty() && upstream.is_close_delimited() => {
+            Ok(body) if body.is_empty() && is_success && upstream.is_close_delimited() => {
                 let error = WireError::UnexpectedEof;
                 const CAUSE: &str = "the answer ended before its body";
                 return Err(self.connection_failed(grant, in_flight, CAUSE, &error));
@@ -505,7 +506,6 @@
             }
         };
         let (mut parts, ()) = head.into_parts();
-        let is_success = parts.status.is_success();
         if is_success && !self.is_endpoint_response(&parts.headers) {
             in_flight.end(Ending::Failed);
             return Err(AttemptFailure::MayHaveRun("the answer is not the endpoint's"));
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use baobabvane_tasks::spawn_isolated;
+use baobabvane_tasks::{Turn, spawn_isolated};
 use baobabvane_wire::{Limits, Response, ServerConn};
 use bytes::Bytes;
 use http::StatusCode;
@@ -44,7 +44,10 @@
 }
 
 async fn serve(listener: TcpListener, handler: Rc<impl Fn(&str) -> Response + 'static>) {
+    let mut turn = Turn::default();
     loop {
+        turn.pause_if_spent().await;
+        turn.spend(0);
         let Ok((stream, _)) = listener.accept().await else {
             // The pause prevents a busy loop while connections cannot be accepted.
             monoio::time::sleep(Duration::from_millis(20)).await;
