gateway: polls of the store are short only where the bound leaves no time

The shorter long polls (0.35 of the bound in place of 0.5) cost calls where they are not needed.

Change: what the others need after an overdue answer is a time, not a share: heartbeats, the start of another instance's polls and a fetch, 1.35 s together. A poll takes what the bound leaves beyond that, between 0.35 and 0.5 of the bound.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -9,7 +9,7 @@
 //! - At [`Drain::until_last_answers`], each request that is left gets its final answer, which says
 //!   whether it may have run; streams are cut, so that they do not look complete.
 //!
-//! See [the guide](../../../guide/gateway.md#stop).
+//! See [the guide](../../../guide/gateway.md#ready-stopping).
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -21,9 +21,13 @@
     scheduler::{BlockedPart, SchedulerMessage},
 };
 
-/// The share of the propagation bound that a long poll may take; the rest is for propagation to
-/// the other instances.
-const MAX_LONG_POLL_SHARE: f64 = 0.35;
+/// The longest long poll, as a share of the propagation bound, where the bound leaves time for the
+/// other instances, and where it does not.
+const MAX_LONG_POLL_SHARE: f64 = 0.5;
+const SHORT_LONG_POLL_SHARE: f64 = 0.35;
+/// The time in which a change reaches all instances after an overdue answer of the store: heartbeats,
+/// the start of another instance's polls, and a fetch from a peer.
+const TAKEOVER_TIME: Duration = Duration::from_millis(1_350);
 /// The share of the propagation bound by which an answer of the store may be late before another
 /// instance polls as well.
 const OVERDUE_SHARE: f64 = 0.15;
@@ -152,8 +156,12 @@
     /// The timeout is needed because a store may fail to wake a waiting read and a connection may
     /// hang without an error.
     pub fn draw_long_poll_timeout(&self, propagation_bound: Duration) -> Duration {
-        propagation_bound
-            .mul_f64(MAX_LONG_POLL_SHARE * rand::random_range(MIN_LONG_POLL_SHARE..1.0))
+        let longest =
+            propagation_bound.mul_f64(1.0 - OVERDUE_SHARE).saturating_sub(TAKEOVER_TIME).clamp(
+                propagation_bound.mul_f64(SHORT_LONG_POLL_SHARE),
+                propagation_bound.mul_f64(MAX_LONG_POLL_SHARE),
+            );
+        longest.mul_f64(rand::random_range(MIN_LONG_POLL_SHARE..1.0))
     }
 
     /// Awaits a read of the store, for which the store may wait up to `max_wait`.
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -176,6 +176,8 @@
             let timeout = gateway.feed.draw_long_poll_timeout(bound);
             let share = timeout.as_secs_f64() / bound.as_secs_f64();
             assert!((0.175..=0.35).contains(&share), "{timeout:?}");
+            let of_a_long_bound = gateway.feed.draw_long_poll_timeout(2 * bound);
+            assert!(of_a_long_bound <= bound && of_a_long_bound >= bound / 2, "{timeout:?}");
         }
     });
 }
