wire: a chunk size of sixteen digits is malformed

hostile::ambiguous_and_malformed_requests_are_rejected_and_not_forwarded failed since the chunk decoder is ours: a size of 2^64 - 1 got 413 in place of 400, as it was only too large.

Change: a size has at most fifteen digits. The test is as it was, and passes.

--- a/crates/wire/src/chunked.rs
+++ b/crates/wire/src/chunked.rs
@@ -11,8 +11,8 @@
 
 use crate::WireError;
 
-/// Most digits of a chunk's size; they fit into a `u64`.
-const MAX_SIZE_DIGITS: usize = 16;
+/// Most digits of a chunk's size. A longer size is no length that memory could have.
+const MAX_SIZE_DIGITS: usize = 15;
 
 /// Decodes a chunked body; chunk extensions and trailers are rejected.
 pub(crate) struct ChunkedDecoder {
