wire: the limit of a chunk counts what has arrived, as before

The test says which bytes count, so the decoder follows it: what has arrived of a chunk, not what the chunk states.

--- a/crates/wire/src/chunked.rs
+++ b/crates/wire/src/chunked.rs
@@ -25,8 +25,8 @@
 enum State {
     /// The line with the size of a chunk.
     Size,
-    /// The rest of a chunk's data, in bytes.
-    Data(usize),
+    /// The rest of a chunk's data.
+    Data { received: usize, remaining: usize },
     /// The line end after a chunk's data.
     DataEnd,
     /// The empty line after the last chunk.
@@ -34,7 +34,7 @@
 }
 
 impl ChunkedDecoder {
-    /// Creates a decoder that rejects a chunk of more than `max_chunk_bytes`.
+    /// Creates a decoder that rejects a chunk of which more than `max_chunk_bytes` arrive.
     pub(crate) fn new(max_chunk_bytes: usize) -> Self {
         Self { state: State::Size, max_chunk_bytes }
     }
@@ -49,10 +49,7 @@
         let text = std::str::from_utf8(&src[..digits]).map_err(|_| malformed("size"))?;
         let size = u64::from_str_radix(text, 16).map_err(|_| malformed("size"))?;
         src.advance(digits + end);
-        match usize::try_from(size) {
-            Ok(size) if size <= self.max_chunk_bytes => Ok(Some(size)),
-            _ => Err(WireError::BodyTooLarge { limit: self.max_chunk_bytes }),
-        }
+        usize::try_from(size).map(Some).map_err(|_| malformed("size"))
     }
 }
 
@@ -80,14 +77,18 @@
                 State::Size => match self.take_size(src)? {
                     None => return Ok(Decoded::Insufficient),
                     Some(0) => self.state = State::BodyEnd,
-                    Some(size) => self.state = State::Data(size),
+                    Some(size) => self.state = State::Data { received: 0, remaining: size },
                 },
-                State::Data(_) if src.is_empty() => return Ok(Decoded::Insufficient),
-                State::Data(remaining) => {
+                State::Data { .. } if src.is_empty() => return Ok(Decoded::Insufficient),
+                State::Data { received, remaining } => {
                     let piece = src.split_to(remaining.min(src.len())).freeze();
+                    let received = received + piece.len();
+                    if received > self.max_chunk_bytes {
+                        return Err(WireError::BodyTooLarge { limit: self.max_chunk_bytes });
+                    }
                     self.state = match remaining - piece.len() {
                         0 => State::DataEnd,
-                        rest => State::Data(rest),
+                        remaining => State::Data { received, remaining },
                     };
                     return Ok(Decoded::Some(Some(piece)));
                 }
