testsuite: one wait for the gateways to hear each other

gateways_cut_off_from_the_store_learn_changes_from_peers had the loop that wait_for_peers wrote again.

--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -90,13 +90,7 @@
     let mut fleet = spawn_fleet(3);
     block_on(async {
         wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
-        // A gateway that does not hear both others yet polls the store itself. `heard` includes the
-        // gateway that logs it.
-        let began = Instant::now();
-        while !fleet.gateways.iter().all(|g| g.log().contains("heard=3")) {
-            assert!(began.elapsed() < CONVERGENCE_TIMEOUT, "{}", fleet.gateways[0].log());
-            sleep(Duration::from_millis(50)).await;
-        }
+        wait_for_peers(&fleet).await;
         for gateway in &fleet.gateways[..2] {
             gateway.store_link.set_fault(ProxyFault::Reset);
         }
@@ -123,7 +117,8 @@
     }
 }
 
-/// Waits until each gateway hears all others; until then it may read the store itself.
+/// Waits until each gateway hears all others; until then it may read the store itself. `heard` includes
+/// the gateway that logs it.
 async fn wait_for_peers(fleet: &Fleet) {
     let heard = format!("heard={}", fleet.gateways.len());
     let began = Instant::now();
