--- a/review/support-2/standin.rs
+++ b/review/support-2/standin.rs
@@ -3,10 +3,10 @@
 #![allow(dead_code)]
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     env, fs,
     io::{Read, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -425,11 +425,11 @@
 }
 
 impl Route {
-    fn json(&self) -> String {
+    fn json(&self, priority: u64) -> String {
         let Self { prefix, kind, service, timeout_ms, target_ms, attempts } = self;
         let is_stream = *kind == "streaming";
         format!(
-            r#"{{"name":"r{}","hostname":"{HOST}","pathPrefix":"{prefix}","routeKind":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":{target_ms},"priority":1,"service":"{service}","maxAttempts":{attempts},"public":false,"sessionAffinity":{is_stream},"streamResumption":false,"gapTargetMs":500}}"#,
+            r#"{{"name":"r{}","hostname":"{HOST}","pathPrefix":"{prefix}","routeKind":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":{target_ms},"priority":{priority},"service":"{service}","maxAttempts":{attempts},"public":false,"sessionAffinity":{is_stream},"streamResumption":false,"gapTargetMs":500}}"#,
             prefix.replace('/', "-")
         )
     }
@@ -437,10 +437,18 @@
 
 /// Returns the configuration with this version, in the format of the pages' example.
 pub fn config(version: u64, routes: &[Route], max_body_bytes: u64) -> String {
-    let routes: Vec<String> = routes.iter().map(Route::json).collect();
+    let routes: Vec<(&Route, u64)> = routes.iter().map(|route| (route, 1)).collect();
+    config_with(version, &routes, max_body_bytes, &["k1"])
+}
+
+/// Like [`config`], with the priority of each route and the keys of the tenant.
+pub fn config_with(version: u64, routes: &[(&Route, u64)], max_body_bytes: u64, keys: &[&str]) -> String {
+    let routes: Vec<String> = routes.iter().map(|(route, p)| route.json(*p)).collect();
+    let keys: Vec<String> = keys.iter().map(|key| format!("{key:?}")).collect();
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"vane-pool","healthCheckPath":"/healthz","connectionLimit":360,"protocol":"h1","tlsEnabled":false,"inferenceEngine":{{"slotCount":11,"kvCacheTokens":438005,"kvTokenBytes":163840,"bandwidthMbps":550000.0,"migrations":true,"replicas":true,"stepSize":6,"most":12,"pinDurationMs":4000.0,"holdDurationMs":2000.0,"handleTtlS":5.0,"modelList":[{{"name":"m"}}]}}}},{{"name":"ledger-app","healthCheckPath":"/healthz","connectionLimit":96,"protocol":"h1","tlsEnabled":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{max_body_bytes},"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"growers","apiKeys":["k1"],"priority":1}}]}}"#,
-        routes.join(",")
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"vane-pool","healthCheckPath":"/healthz","connectionLimit":360,"protocol":"h1","tlsEnabled":false,"inferenceEngine":{{"slotCount":11,"kvCacheTokens":438005,"kvTokenBytes":163840,"bandwidthMbps":550000.0,"migrations":true,"replicas":true,"stepSize":6,"most":12,"pinDurationMs":4000.0,"holdDurationMs":2000.0,"handleTtlS":5.0,"modelList":[{{"name":"m"}}]}}}},{{"name":"ledger-app","healthCheckPath":"/healthz","connectionLimit":96,"protocol":"h1","tlsEnabled":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{max_body_bytes},"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"growers","apiKeys":[{}],"priority":1}}]}}"#,
+        routes.join(","),
+        keys.join(",")
     )
 }
 
@@ -459,10 +467,32 @@
     pub id: String,
     pub arrivals: Mutex<Vec<Arrival>>,
     pub record: Record,
-    running: AtomicU64,
+    /// Unix milliseconds of the start of its present process.
+    born: AtomicU64,
+    /// Until when it is down after a crash, in Unix milliseconds.
+    down_until: AtomicU64,
+    conns: Mutex<Vec<TcpStream>>,
 }
 
 impl ServerState {
+    /// Ends the process: all its connections close, and it starts again after `down_ms` under the
+    /// same id.
+    pub fn crash(&self, down_ms: u64) {
+        if self.is_down() {
+            return;
+        }
+        let until = unix_ms() + down_ms;
+        self.down_until.store(until, Ordering::Relaxed);
+        self.born.store(until, Ordering::Relaxed);
+        for conn in self.conns.lock().unwrap().drain(..) {
+            let _ = conn.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn is_down(&self) -> bool {
+        unix_ms() < self.down_until.load(Ordering::Relaxed)
+    }
+
     pub fn note(&self, req: &Request, has_run: bool) {
         let arrival = Arrival { at_ms: self.record.ms(), id: req.id().to_owned(), has_run };
         self.arrivals.lock().unwrap().push(arrival);
@@ -517,12 +547,20 @@
             id: id.to_owned(),
             arrivals: Mutex::default(),
             record: record.clone(),
-            running: AtomicU64::new(0),
+            born: AtomicU64::new(unix_ms()),
+            down_until: AtomicU64::new(0),
+            conns: Mutex::default(),
         });
         let (handler, handler_state) = (Arc::new(handler), Arc::clone(&state));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (handler, state) = (Arc::clone(&handler), Arc::clone(&handler_state));
+                if state.is_down() {
+                    continue;
+                }
+                if let Ok(conn) = stream.try_clone() {
+                    state.conns.lock().unwrap().push(conn);
+                }
                 thread::spawn(move || {
                     let mut conn = Conn::new(stream);
                     while let Some(req) = conn.read_request() {
@@ -539,10 +577,10 @@
             }
         });
         let reaches_store = Arc::new(AtomicBool::new(true));
-        let born = unix_ms();
         let entry = {
-            let (id, store) = (id.to_owned(), store.clone());
+            let (id, store, state) = (id.to_owned(), store.clone(), Arc::clone(&state));
             move |sequence: u64| {
+                let born = state.born.load(Ordering::Relaxed);
                 let entry = format!(
                     r#"{{"service":"{service}","address":"{address}","availabilityZone":"{zone}","version":"v1","slotCount":{slots},"lifecycleState":"ready","coldRemainingMs":0,"born":{born},"sequenceNumber":{sequence}}}"#
                 );
@@ -551,12 +589,21 @@
         };
         entry(1);
         let (reaches, id, store) = (Arc::clone(&reaches_store), id.to_owned(), store.clone());
-        let record = record.clone();
+        let (record, beat_state) = (record.clone(), Arc::clone(&state));
         thread::spawn(move || {
             // The store removes an entry after three heartbeat intervals of silence.
             let mut silent_beats = 0;
-            for sequence in 2.. {
+            let mut sequence = 1;
+            loop {
                 sleep_ms(HEARTBEAT_MS);
+                if beat_state.is_down() {
+                    // Its process writes at once when it is back; its counts start anew.
+                    while beat_state.is_down() {
+                        sleep_ms(5);
+                    }
+                    sequence = 0;
+                }
+                sequence += 1;
                 if reaches.load(Ordering::Relaxed) {
                     if silent_beats >= 3 {
                         record.line(&format!("server {id}: its entry is back in the store"));
@@ -743,13 +790,38 @@
 
 /// Returns the peak memory of a process, in MB of a million bytes; 0 once it has ended.
 pub fn memory_mb(pid: u32) -> u64 {
+    status_mb(pid, "VmHWM:")
+}
+
+/// Returns the present memory of a process, in MB of a million bytes; 0 once it has ended.
+pub fn resident_mb(pid: u32) -> u64 {
+    status_mb(pid, "VmRSS:")
+}
+
+fn status_mb(pid: u32, name: &str) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
     let kib = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0);
     kib * 1_024 / 1_000_000
 }
 
-pub fn kill_process(pid: u32) {
-    // SAFETY: the caller passes a process that it started and that has not been waited for.
-    unsafe { kill(pid as i32, SIGKILL) };
+/// Returns the bytes that the kernel has received for the connections of a process and that the
+/// process has not read yet, in MB of a million bytes.
+pub fn unread_mb(pid: u32) -> u64 {
+    let sockets: HashSet<String> = fs::read_dir(format!("/proc/{pid}/fd"))
+        .into_iter()
+        .flatten()
+        .flatten()
+        .filter_map(|entry| fs::read_link(entry.path()).ok())
+        .filter_map(|link| {
+            let link = link.to_string_lossy().into_owned();
+            Some(link.strip_prefix("socket:[")?.trim_end_matches(']').to_owned())
+        })
+        .collect();
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let lines = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+    // Column 3 is the state, in which 0A is a listening socket; column 9 is the inode.
+    let own = lines.filter(|c| c.len() > 9 && c[3] != "0A" && sockets.contains(c[9]));
+    let unread = own.filter_map(|c| u64::from_str_radix(c[4].split_once(':')?.1, 16).ok());
+    unread.sum::<u64>() / 1_000_000
 }
