--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,5 +1,5 @@
-//! Requests with a part that crashes engines carry no `X-Baobabvane-Token-Usage`. They are never
-//! held back, and go on to end one engine after the other with all that it runs.
+//! Engines that begin to write an answer on a certain part crash after the first event. The part is
+//! taken for sound, and goes on to end one engine after the other with all that it runs.
 
 #[path = "../support-2/standin.rs"]
 mod standin;
@@ -26,6 +26,8 @@
 /// The time between two requests with the deadly part, and their number.
 const DEADLY_GAP_MS: u64 = 500;
 const DEADLY: usize = 60;
+/// Time from the first event on the deadly part to the crash; less than the pause between two events.
+const CRASH_AFTER_MS: u64 = 20;
 /// Time to the first event of a stream, and between its events.
 const FIRST_MS: u64 = 150;
 const GAP_MS: u64 = 100;
@@ -34,8 +36,8 @@
 fn main() {
     let folder = PathBuf::from(env::args().nth(1).expect("the folder of the case"));
     let record = Record::create(&folder);
-    // With `USAGE=1`, the deadly requests carry the header like all others.
-    let has_usage = env::var("USAGE").as_deref() == Ok("1");
+    // With `EVENTS=0`, the engines crash after the head of the answer.
+    let events_before: usize = env::var("EVENTS").ok().and_then(|n| n.parse().ok()).unwrap_or(1);
     let store = Store::start();
     // When each engine ended with a deadly request.
     let crashes: Arc<Mutex<Vec<u64>>> = Arc::default();
@@ -45,8 +47,22 @@
         move |state: &ServerState, conn: &mut Conn, req: &Request| {
             state.note(req, true);
             sleep_ms(FIRST_MS);
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nx-baobabvane-attempt-id: {}\r\n{SIGNED}content-type: \
+                 text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+                req.id()
+            );
             if req.header("x-baobabvane-prompt-prefix").contains("dead0001") {
-                // The engine begins to write the answer.
+                // The engine begins to write the answer, and crashes.
+                if state.is_down() {
+                    return false;
+                }
+                conn.write(head.as_bytes());
+                for number in 1..=events_before {
+                    let event = format!("id: {number}\ndata: {}\n\n", req.id());
+                    conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+                }
+                sleep_ms(CRASH_AFTER_MS);
                 if !state.is_down() {
                     crashes.lock().unwrap().push(state.record.ms());
                     let line = format!("engine {} crashes on {}", state.id, req.id());
@@ -55,11 +71,6 @@
                 state.crash(DOWN_MS);
                 return false;
             }
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nx-baobabvane-attempt-id: {}\r\n{SIGNED}content-type: \
-                 text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-                req.id()
-            );
             let mut is_sent = conn.write(head.as_bytes());
             for number in 1..=EVENTS {
                 let event = format!("id: {number}\ndata: {}\n\n", req.id());
@@ -128,12 +139,10 @@
     for number in 0..DEADLY {
         let part = if has_trouble() { "dead0001" } else { "50000002" };
         let prefix = format!("50000001:60,{part}:40,e000{number:04x}:{}", 500 + number);
-        let mut req = client_request("POST", "/answer/1", 12_000)
+        let req = client_request("POST", "/answer/1", 12_000)
             .with("x-baobabvane-model-name", "m")
+            .with("x-baobabvane-token-usage", &format!("{},80", 600 + number))
             .with("x-baobabvane-prompt-prefix", &prefix);
-        if has_usage {
-            req = req.with("x-baobabvane-token-usage", &format!("{},80", 600 + number));
-        }
         let address = callers[number % callers.len()];
         sent_at.push((req.id().to_owned(), record.ms()));
         let record = record.clone();
--- a/review/support-2/standin.rs
+++ b/review/support-2/standin.rs
@@ -553,11 +553,25 @@
         });
         let (handler, handler_state) = (Arc::new(handler), Arc::clone(&state));
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (handler, state) = (Arc::clone(&handler), Arc::clone(&handler_state));
-                if state.is_down() {
+            let mut listener = Some(listener);
+            loop {
+                if handler_state.is_down() {
+                    // A port with no listener resets the connection.
+                    listener = None;
+                    sleep_ms(2);
                     continue;
                 }
+                let Some(open) = &listener else {
+                    listener = TcpListener::bind(address).ok();
+                    continue;
+                };
+                let _ = open.set_nonblocking(true);
+                let Ok((stream, _)) = open.accept() else {
+                    sleep_ms(1);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let (handler, state) = (Arc::clone(&handler), Arc::clone(&handler_state));
                 if let Ok(conn) = stream.try_clone() {
                     state.conns.lock().unwrap().push(conn);
                 }
