--- a/review/support-2/standin.rs
+++ b/review/support-2/standin.rs
@@ -163,6 +163,15 @@
         Some(Request { method, target, headers, body })
     }
 
+    /// Returns what has arrived, or arrives within `ms`, while no request waits for an answer.
+    pub fn unsolicited(&mut self, ms: u64) -> Vec<u8> {
+        let before = self.stream.read_timeout().ok().flatten();
+        let _ = self.stream.set_read_timeout(Some(Duration::from_millis(ms)));
+        self.fill();
+        let _ = self.stream.set_read_timeout(before);
+        self.buf.clone()
+    }
+
     pub fn write(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
     }
@@ -227,7 +236,11 @@
     let answer = (|| {
         let (first, headers) = conn.head()?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
-        let body = conn.body(&headers, true)?;
+        // The answer to HEAD has no body, whatever its headers say.
+        let body = match req.method == "HEAD" {
+            true => Vec::new(),
+            false => conn.body(&headers, true)?,
+        };
         Some(Answer::Complete(status, headers, body))
     })();
     answer.unwrap_or(Answer::Broken)
