--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -126,7 +126,9 @@
                 let mut is_kept = false;
                 while !is_over.load(Ordering::Relaxed) {
                     let req = client_request("POST", "/post/1", 1_500);
+                    record.log(&format!("booking {} sent", req.id()));
                     let answer = exchange(&mut conn, &req);
+                    record.log(&format!("booking {}: {}", req.id(), answer.describe()));
                     if answer.status() == Some(200) {
                         answered.fetch_add(1, Ordering::Relaxed);
                     }
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,5 +3,7 @@
 cd "$(dirname "$0")" || exit 2
 REVIEW_ROOT=$(cd ../.. && pwd)
 export REVIEW_ROOT
+# TROUBLE=0 plays the same without the disruption; the program reads it (has_trouble in standin.rs).
+export TROUBLE="${TROUBLE:-1}"
 [ -x "$REVIEW_ROOT/target/review-2/case-8" ] || exit 2
 exec "$REVIEW_ROOT/target/review-2/case-8" .
--- a/review/support-2/standin.rs
+++ b/review/support-2/standin.rs
@@ -37,6 +37,12 @@
         println!("{ms:6} ms  {text}");
     }
 
+    /// Writes a line to the file only.
+    pub fn log(&self, text: &str) {
+        let ms = self.start.elapsed().as_millis();
+        let _ = writeln!(self.file.lock().unwrap(), "{ms:6} ms  {text}");
+    }
+
     pub fn ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
@@ -509,6 +515,8 @@
     pub fn note(&self, req: &Request, has_run: bool) {
         let arrival = Arrival { at_ms: self.record.ms(), id: req.id().to_owned(), has_run };
         self.arrivals.lock().unwrap().push(arrival);
+        let what = if has_run { "runs" } else { "does not run" };
+        self.record.log(&format!("server {} {what} {}", self.id, req.id()));
     }
 
     /// Returns how often an attempt ran here.
