gateway: what is kept of a prompt is bounded by the memory of endpoints and charged to the budget

Cause: one hash of 8 bytes for each 256 tokens that the caller states, copied for the placement and then entered in the maps of the predicted prefix caches, before any bound applied and outside the memory budget.

Change: tokens are clamped to the memory of the pool's engines where the headers are decoded; the blocks are charged to the budget before they are made (503 without room); the predicted caches of all endpoints share a bound that follows from the memory limit.

Why this works: no list is longer than one endpoint's cache, whatever is stated, and each is in the budget.

--- a/crates/decide/src/choose.rs
+++ b/crates/decide/src/choose.rs
@@ -255,7 +255,8 @@
             longest_gap_ms,
             is_on_time: self.now + first_event_ms <= goal.first_token_by
                 && longest_gap_ms <= goal.max_gap_ms,
-            prefill_tokens: f64::from(endpoint.unfinished_prefill_tokens() + uncached_tokens),
+            prefill_tokens: f64::from(endpoint.unfinished_prefill_tokens())
+                + f64::from(uncached_tokens),
             event_ms: self.capacity.tokens_per_event() * curve.decode_ms(in_flight),
         })
     }
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -109,7 +109,7 @@
         Self {
             now: 0.0,
             endpoints: SecondaryMap::new(),
-            prefixes: PrefixIndex::default(),
+            prefixes: PrefixIndex::new(policy.max_prefix_blocks),
             long_work: LongWorkLimit::new(policy.room_for_short),
             ready: ReadyEndpoints::default(),
             queue: Queue::new(policy.fair_share),
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -25,6 +25,8 @@
 /// Load reports are compared with the peak of this scheduler's requests in flight over the
 /// last one to two windows.
 const PEAK_WINDOW_MS: Millis = 10_000.0;
+/// The most requests that all other schedulers together are taken to have at an endpoint.
+const MAX_PEER_REQUESTS: u32 = 1_000_000;
 /// Time in which the number of other senders' requests in a report decays by half.
 const REPORT_HALF_LIFE_MS: Millis = 5_000.0;
 
@@ -236,7 +238,8 @@
     }
 
     pub(crate) fn set_peer_load(&mut self, peer_load: EndpointLoad) {
-        self.peer_load = peer_load;
+        let requests = peer_load.requests.min(MAX_PEER_REQUESTS);
+        self.peer_load = EndpointLoad { requests, ..peer_load };
     }
 
     /// Sends no requests until then, or until the end of an earlier pause if that is later.
@@ -299,7 +302,7 @@
 
     /// Returns the prompt tokens of all schedulers whose prefill isn't finished.
     pub(crate) fn unfinished_prefill_tokens(&self) -> u32 {
-        self.pending_prefill_tokens + self.peer_load.pending_prefill_tokens
+        self.pending_prefill_tokens.saturating_add(self.peer_load.pending_prefill_tokens)
     }
 
     /// Returns the requests of all schedulers.
@@ -352,7 +355,7 @@
             sent_at: now,
             expected_ms: self.first_token_ms(load.uncached_tokens),
             uncached_tokens: load.uncached_tokens,
-            ahead_tokens: self.pending_prefill_tokens + self.peer_load.pending_prefill_tokens,
+            ahead_tokens: self.unfinished_prefill_tokens(),
             is_long_prefill: load.is_long_prefill,
             is_long: load.is_long,
             deadline: load.deadline,
@@ -362,7 +365,8 @@
             first_token_at: None,
         };
         self.awaited_first_tokens += u32::from(load.reports_first_token);
-        self.pending_prefill_tokens += load.uncached_tokens;
+        self.pending_prefill_tokens =
+            self.pending_prefill_tokens.saturating_add(load.uncached_tokens);
         self.long_prefills += u32::from(load.is_long_prefill);
         self.long_requests += u32::from(load.is_long);
         self.in_flight_peaks.record(now, self.in_flight);
@@ -448,8 +452,10 @@
     }
 
     fn learn_first_token(&mut self, sent: &SentRequest, elapsed_ms: Millis) {
-        let tokens = f64::from(sent.uncached_tokens + sent.ahead_tokens);
-        if sent.uncached_tokens + sent.ahead_tokens < SHORT_PROMPT_TOKENS {
+        let tokens = sent.uncached_tokens.saturating_add(sent.ahead_tokens);
+        let is_short = tokens < SHORT_PROMPT_TOKENS;
+        let tokens = f64::from(tokens);
+        if is_short {
             let base = elapsed_ms - tokens * self.prefill_ms_per_token.get();
             self.base_ms.add(base.max(0.1));
         } else {
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -76,6 +76,9 @@
     pub prefill_price: f64,
     /// Tokens in one block of a prompt.
     pub block_tokens: u32,
+    /// Blocks that are predicted in the prefix caches of all endpoints together, at most; they share
+    /// this equally if their caches are larger.
+    pub max_prefix_blocks: usize,
     /// Seed of the random generator; the schedulers of a pool need different seeds, so that
     /// they don't choose alike.
     pub seed: u64,
@@ -105,6 +108,7 @@
             long_prefill_ms: 400.0,
             prefill_price: 8.0,
             block_tokens: 256,
+            max_prefix_blocks: 1 << 20,
             seed: 1,
             shed_only_late: false,
             endpoint_capacity: true,
--- a/crates/decide/src/prefix.rs
+++ b/crates/decide/src/prefix.rs
@@ -13,8 +13,10 @@
 use crate::event::EndpointKey;
 
 /// The predicted cache contents of all endpoints of a pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PrefixIndex {
+    /// The number of blocks of all caches together, at most.
+    max_blocks: usize,
     holders: FxHashMap<u64, SmallVec<[EndpointKey; 2]>>,
     caches: FxHashMap<EndpointKey, Cache>,
     uses: BlockUseCounts,
@@ -80,8 +82,8 @@
         true
     }
 
-    fn pop_over_capacity(&mut self) -> Option<u64> {
-        if self.last_use.len() <= self.capacity {
+    fn pop_over(&mut self, capacity: usize) -> Option<u64> {
+        if self.last_use.len() <= capacity {
             return None;
         }
         let (_, block) = self.by_last_use.pop_first()?;
@@ -100,6 +102,15 @@
 }
 
 impl PrefixIndex {
+    pub(crate) fn new(max_blocks: usize) -> Self {
+        Self {
+            max_blocks,
+            holders: FxHashMap::default(),
+            caches: FxHashMap::default(),
+            uses: BlockUseCounts::default(),
+        }
+    }
+
     /// Sets the cache size of an endpoint, in blocks.
     pub(crate) fn set_capacity(&mut self, endpoint: EndpointKey, blocks: u32) {
         self.caches.entry(endpoint).or_default().capacity = blocks as usize;
@@ -110,17 +121,19 @@
     /// The last block is touched first, so that the start of a prefix, which
     /// more prompts share, is evicted last.
     pub(crate) fn store(&mut self, endpoint: EndpointKey, blocks: &[u64]) {
+        let max_blocks = self.max_blocks / self.caches.len().max(1);
         let Some(cache) = self.caches.get_mut(&endpoint) else { return };
-        if cache.capacity == 0 {
+        let capacity = cache.capacity.min(max_blocks);
+        if capacity == 0 {
             return;
         }
-        for &block in blocks.iter().rev() {
+        for &block in blocks.iter().take(capacity).rev() {
             self.uses.record(block);
             if cache.touch(block) {
                 self.holders.entry(block).or_default().push(endpoint);
             }
         }
-        while let Some(block) = cache.pop_over_capacity() {
+        while let Some(block) = cache.pop_over(capacity) {
             remove_holder(&mut self.holders, block, endpoint);
         }
     }
@@ -212,11 +225,34 @@
 
     use super::*;
 
+    const MAX_BLOCKS: usize = 64;
+
+    /// Guards against an index that grows with what is stated of prompts and caches.
+    #[test]
+    fn all_caches_together_stay_within_the_bound() {
+        let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+        let mut index = PrefixIndex::new(MAX_BLOCKS);
+        let endpoints = [(); 4].map(|()| keys.insert(()));
+        for endpoint in endpoints {
+            index.set_capacity(endpoint, u32::MAX);
+        }
+        for round in 0..8 {
+            for (endpoint, first) in endpoints.into_iter().zip((0..).step_by(1_000)) {
+                let first = first + round * 100_000;
+                let blocks: Vec<u64> = (first..first + 500).collect();
+                index.store(endpoint, &blocks);
+                assert_eq!(index.holders(&blocks)[0].blocks, 16);
+            }
+            let held: usize = index.caches.values().map(|cache| cache.last_use.len()).sum();
+            assert!(held <= MAX_BLOCKS && index.holders.len() <= MAX_BLOCKS, "{held}");
+        }
+    }
+
     #[test]
     fn a_full_cache_evicts_the_end_of_the_oldest_prefix_first() {
         let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
         let endpoint = keys.insert(());
-        let mut index = PrefixIndex::default();
+        let mut index = PrefixIndex::new(MAX_BLOCKS);
         index.set_capacity(endpoint, 4);
         index.store(endpoint, &[1, 2, 3]);
         index.store(endpoint, &[11, 12]);
--- a/crates/entry/tests/testsuite/memory.rs
+++ b/crates/entry/tests/testsuite/memory.rs
@@ -385,3 +385,58 @@
     check_process(&mut fleet, MEMORY_LIMIT_MB);
     fleet.remove_folder();
 }
+
+/// Returns a request for a stream whose prompt has a part of `tokens` tokens.
+fn prompt(tokens: u64) -> Vec<u8> {
+    let lines = format!(
+        "x-baobabvane-token-usage: {tokens},80\r\n\
+         x-baobabvane-prompt-prefix: 5000:60,aa{tokens:x}:{tokens},ff:500\r\n\r\n"
+    );
+    head("POST", "/stream/1", &lines)
+}
+
+/// Runs clients whose prompts state each of these numbers of tokens, and checks the process.
+fn run_prompts(engine: Option<serde_json::Value>, tokens: &[u64]) {
+    let _lock = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut fleet = start_fleet(MEMORY_LIMIT_MB);
+    if let Some(engine) = engine {
+        fleet.set_engine(engine);
+    }
+    fleet.configure(&["k1"]);
+    sleep(Duration::from_secs(1));
+    for tokens in tokens {
+        let address = fleet.gateways[0].callers();
+        let clients: Vec<_> =
+            (0..10).filter_map(|i| Client::connect(address, &prompt(tokens - i))).collect();
+        sleep(Duration::from_millis(300));
+        drop(clients);
+    }
+    wait_until_served(&fleet);
+    check_process(&mut fleet, MEMORY_LIMIT_MB);
+    fleet.remove_folder();
+}
+
+const TOKEN_COUNTS: [u64; 7] = [
+    1_000_000,
+    20_000_000,
+    100_000_000,
+    1_000_000_000,
+    u32::MAX as u64,
+    u32::MAX as u64 + 1_000,
+    u64::MAX,
+];
+
+/// Guards against memory that grows with the tokens that a prompt states: the process was killed with
+/// all requests in flight (LOST, review/6).
+#[test]
+fn prompts_that_state_any_number_of_tokens() {
+    run_prompts(None, &TOKEN_COUNTS);
+}
+
+/// Guards against the same where the prefix caches of the endpoints are predicted, however large these
+/// are said to be.
+#[test]
+fn prompts_that_state_any_number_of_tokens_to_engines() {
+    run_prompts(Some(serde_json::json!({"kvCacheTokens": 554_218})), &TOKEN_COUNTS);
+    run_prompts(Some(serde_json::json!({"kvCacheTokens": 9e15 as u64})), &TOKEN_COUNTS);
+}
--- a/crates/gateway/src/caller/admission.rs
+++ b/crates/gateway/src/caller/admission.rs
@@ -10,12 +10,12 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use monoio::time::Instant;
 
-use super::reply::LocalReply;
+use super::reply::{LocalReply, NO_MEMORY_RETRY_AFTER};
 use crate::{
     configuration::{Organisation, Route, Semantics},
     context::Context,
     headers::{self, LAST_EVENT_ID},
-    prompt::Prompt,
+    prompt::{NoMemoryForPrompt, Prompt},
     routing::{Identity, pick_target},
 };
 
@@ -133,9 +133,16 @@
     let caller_timeout =
         headers::number(&parts.headers, &cx.header_names.time_left).map(Duration::from_millis);
     let prompt = match route.semantics {
-        Semantics::Stream => Prompt::from_headers(&parts.headers, &cx.header_names),
-        Semantics::Idempotent | Semantics::NonIdempotent => Prompt::default(),
+        Semantics::Stream => {
+            let engine = cx.knowledge.configuration().engine(&target.pool);
+            Prompt::from_headers(&parts.headers, &cx.header_names, engine, &cx.memory)
+        }
+        Semantics::Idempotent | Semantics::NonIdempotent => Ok(Prompt::default()),
     };
+    let prompt = prompt.map_err(|NoMemoryForPrompt| Rejection {
+        retry_after: Some(NO_MEMORY_RETRY_AFTER),
+        ..reject(StatusCode::SERVICE_UNAVAILABLE, "no memory is free for the prompt")
+    })?;
     Ok(AdmittedRequest {
         prompt,
         last_event_id: headers::number(&parts.headers, &LAST_EVENT_ID),
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -8,6 +8,9 @@
 /// stall (the Doherty threshold).
 const MAX_INTERACTIVE_GAP_MS: u64 = 400;
 
+/// The most tokens that an engine is taken to have memory for; several times that of any known one.
+pub const MAX_ENGINE_TOKENS: u32 = 1 << 22;
+
 /// One complete version of the operators' configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -96,6 +99,12 @@
 }
 
 impl Configuration {
+    /// Returns the properties of a pool's endpoints if they are model engines.
+    pub(crate) fn engine(&self, pool: &str) -> Option<Engine> {
+        let engine = self.pools.iter().find(|p| p.name == pool)?.engine?;
+        Some(Engine { cache_tokens: engine.cache_tokens.min(MAX_ENGINE_TOKENS), ..engine })
+    }
+
     /// Returns whether one of the routes is [interactive](Route::is_interactive).
     pub fn is_interactive(&self) -> bool {
         self.routes.iter().any(Route::is_interactive)
@@ -115,8 +124,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// The capacity of an engine's KV cache, which also serves as its prefix cache, in tokens of
-    /// prompts and answers.
-    pub cache_tokens: u64,
+    /// prompts and answers; at most [`MAX_ENGINE_TOKENS`].
+    pub cache_tokens: u32,
     /// The number of tokens in one event of a stream.
     pub tokens_per_event: u32,
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -131,7 +131,8 @@
         let Self { settings, state } = self;
         // Endpoints report their slots and instances exchange their loads, so the concurrency
         // limit need not be estimated.
-        let policy = Policy { adaptive_limit: false, ..Policy::default() };
+        let max_prefix_blocks = scheduler::max_prefix_blocks(settings.memory_bytes);
+        let policy = Policy { adaptive_limit: false, max_prefix_blocks, ..Policy::default() };
         let scheduler = scheduler::spawn(policy, &settings.zone);
         let endpoint_expiry = Duration::from_millis(settings.endpoint_expiry_ms);
         let propagation_bound = Duration::from_millis(settings.propagation_bound_ms);
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -79,6 +79,17 @@
     headers.get(name)?.to_str().ok().map(str::trim)
 }
 
+/// Returns a header's value as a number of things; one that is too large is the largest.
+pub(crate) fn count(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    parse_count(text(headers, name)?)
+}
+
+/// Returns a text of decimal digits as a number; one that is too large is the largest.
+pub(crate) fn parse_count(text: &str) -> Option<u64> {
+    let is_number = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    is_number.then(|| text.parse().unwrap_or(u64::MAX))
+}
+
 /// Returns a header's value as a non-negative integer.
 pub(crate) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     text(headers, name)?.parse().ok()
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -35,7 +35,7 @@
     placement::process_id,
 };
 use crate::{
-    configuration::{Configuration, DiscoveredEndpoint, Engine},
+    configuration::{Configuration, DiscoveredEndpoint},
     directory::{Directory, EndpointChange, EndpointList},
     peer::{ASSUMED_FLEET_SHARE, LocalState, PeerState, WaitingRequests},
     prompt::SharedParts,
@@ -52,6 +52,10 @@
 /// The number of tokens in one block of a prompt prefix; shared prefixes are rounded to
 /// whole blocks.
 pub(crate) const BLOCK_TOKENS: u32 = 256;
+/// The memory of the process is divided by this for the predicted prefix caches.
+const PREFIX_MEMORY_DIVISOR: usize = 16;
+/// What one predicted block takes in the maps that hold it.
+const PREFIX_BLOCK_BYTES: usize = 160;
 /// The size of the prefix cache, in blocks, of an endpoint that is not a model engine.
 const NO_CACHE_BLOCKS: u32 = 0;
 
@@ -203,6 +207,11 @@
     peer_speeds: PeerSpeeds,
 }
 
+/// Returns how many blocks an instance that may use `memory_bytes` predicts in prefix caches.
+pub(crate) fn max_prefix_blocks(memory_bytes: usize) -> usize {
+    memory_bytes / PREFIX_MEMORY_DIVISOR / PREFIX_BLOCK_BYTES
+}
+
 /// Starts the scheduler task of an instance in the given availability zone.
 pub(crate) fn spawn(policy: Policy, zone: &str) -> Mailbox<SchedulerMessage> {
     let (mailbox, rx) = Mailbox::new();
@@ -646,17 +655,12 @@
     }
 
     fn endpoint_spec(&self, endpoint: &DiscoveredEndpoint) -> EndpointSpec {
-        let engine = self.engine(&endpoint.pool);
-        let cache_blocks =
-            engine.map_or(NO_CACHE_BLOCKS, |e| (e.cache_tokens / u64::from(BLOCK_TOKENS)) as u32);
+        let engine = self.configuration.engine(&endpoint.pool);
+        let cache_blocks = engine.map_or(NO_CACHE_BLOCKS, |e| e.cache_tokens / BLOCK_TOKENS);
         let is_in_other_zone = endpoint.zone != self.zone;
         EndpointSpec { slots: endpoint.slots.max(1), cache_blocks, is_in_other_zone }
     }
 
-    fn engine(&self, pool: &str) -> Option<Engine> {
-        self.configuration.pools.iter().find(|p| p.name == pool)?.engine
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         self.fleet.observe(now);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -131,6 +131,8 @@
     folder: PathBuf,
     /// The versions of the endpoints.
     versions: Vec<&'static str>,
+    /// The service's `inferenceEngine` in the configuration, if its endpoints are model engines.
+    engine: Option<Value>,
 }
 
 impl Fleet {
@@ -155,6 +157,7 @@
             config_version: 0,
             folder,
             versions: Vec::new(),
+            engine: None,
         };
         for _ in 0..endpoints {
             fleet.add_endpoint("v1");
@@ -221,6 +224,11 @@
         self.store.remove("keyed.servers", &endpoint_id(index));
     }
 
+    /// Makes the endpoints model engines, from the next version of the configuration on.
+    pub fn set_engine(&mut self, engine: Value) {
+        self.engine = Some(engine);
+    }
+
     /// Publishes a new version of the configuration that accepts the API keys `keys`.
     pub fn configure(&mut self, keys: &[&str]) {
         self.config_version += 1;
@@ -233,7 +241,7 @@
         let config = json!({
             "version": self.config_version,
             "routes": routes,
-            "services": [{"name": "desk"}],
+            "services": [{"name": "desk", "inferenceEngine": self.engine}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                 "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "growers", "apiKeys": keys}],
--- a/crates/wire/src/budget.rs
+++ b/crates/wire/src/budget.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    fmt,
     rc::Rc,
     time::Duration,
 };
@@ -324,6 +325,12 @@
     bytes: usize,
 }
 
+impl fmt::Debug for Permit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Permit").field("kind", &self.kind).field("bytes", &self.bytes).finish()
+    }
+}
+
 impl Permit {
     /// Returns the bytes that are reserved.
     pub fn bytes(&self) -> usize {
