platform: no number keeps the rest of a configuration out of force

Cause: the rank was decoded as a u8, so that the decoder failed for the whole document.

Evidence: event=configuration_unreadable error="invalid value: integer `300`, expected u8 ..." at each instance; on platform::an_unusual_number_in_one_route_does_not_keep_a_configuration_out_of_force fails after 30 s.

--- a/crates/entry/tests/testsuite/platform.rs
+++ b/crates/entry/tests/testsuite/platform.rs
@@ -5,9 +5,11 @@
 
 use baobabvane_standin::{
     Caller, Endpoint, Fleet, GatewayProcess, Proxy, ProxyFault, Received, Store, StoreFault,
+    route_document,
 };
 use http::{Method, StatusCode};
 use monoio::time::{Instant, sleep};
+use serde_json::json;
 
 use crate::fleet::block_on;
 
@@ -68,6 +70,37 @@
     fleet.remove_folder();
 }
 
+/// Guards against one route with a rank, or another number, beyond the usual that keeps a dropped key and
+/// all later changes out of force (CONFIG, review/9).
+#[test]
+fn an_unusual_number_in_one_route_does_not_keep_a_configuration_out_of_force() {
+    block_on(async {
+        let mut fleet = spawn_fleet(2);
+        wait_for_status_on_all(&fleet, "k1", "/read/1", StatusCode::OK).await;
+        for (round, (field, number)) in [
+            ("priority", json!(300)),
+            ("priority", json!(-1)),
+            ("maxAttempts", json!(1e12)),
+            ("timeoutMs", json!(1e300)),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let key = format!("k{}", round + 2);
+            fleet.configure_with(&[&key], |config| {
+                let mut added = route_document("/added/", "idempotent", false);
+                added[field] = number;
+                config["routes"].as_array_mut().expect("a list of routes").push(added);
+            });
+            wait_for_status_on_all(&fleet, &key, "/read/1", StatusCode::OK).await;
+            wait_for_status_on_all(&fleet, &key, "/added/1", StatusCode::OK).await;
+            let dropped = format!("k{}", round + 1);
+            wait_for_status_on_all(&fleet, &dropped, "/read/1", StatusCode::UNAUTHORIZED).await;
+        }
+        fleet.remove_folder();
+    });
+}
+
 #[test]
 fn a_store_outage_does_not_interrupt_serving() {
     let mut fleet = spawn_fleet(2);
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -19,7 +19,7 @@
     flight::{self, InFlightRequest},
 };
 use crate::{
-    configuration::{QuotaUnit, Semantics},
+    configuration::{MAX_RANK, QuotaUnit, Semantics},
     context::Context,
     headers::{self, LAST_EVENT_ID},
     links::EndpointConnection,
@@ -43,8 +43,6 @@
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 /// Longest time for which such a body is read; the request's next attempt waits meanwhile.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
-/// Larger ranks are clamped to this one, so that two ranks fit into one `u8`.
-const MAX_RANK: u8 = 15;
 /// Silence timeout of an endpoint, as a multiple of the route's `target_ms`; applies only while
 /// the request may be retried.
 const SILENCE_TIMEOUT_TARGET_MULTIPLE: u32 = 4;
--- a/crates/gateway/src/caller/relay.rs
+++ b/crates/gateway/src/caller/relay.rs
@@ -198,7 +198,7 @@
     let configuration = exchange.cx.knowledge.configuration();
     let pool = configuration.pools.iter().find(|p| *p.name == *exchange.request.pool);
     let tokens_per_event = pool.and_then(|p| p.engine).map_or(1, |e| e.tokens_per_event.max(1));
-    events * tokens_per_event
+    events.saturating_mul(tokens_per_event)
 }
 
 /// What happened first while waiting for data from the endpoint.
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -11,6 +11,9 @@
 /// The most tokens that an engine is taken to have memory for; several times that of any known one.
 pub const MAX_ENGINE_TOKENS: u32 = 1 << 22;
 
+/// The rank of the least urgent tier; larger ones are clamped, so that two ranks fit into one `u8`.
+pub const MAX_RANK: u8 = 15;
+
 /// One complete version of the operators' configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,8 +42,8 @@
     Order as RolloutOrder, Settings as RolloutSettings, Status as RolloutState,
 };
 pub use configuration::{
-    CallerLimits, Configuration, DiscoveredEndpoint, Engine, MAX_ENGINE_TOKENS, Organisation, Pool,
-    Quota, QuotaUnit, Route, Semantics, Target,
+    CallerLimits, Configuration, DiscoveredEndpoint, Engine, MAX_ENGINE_TOKENS, MAX_RANK,
+    Organisation, Pool, Quota, QuotaUnit, Route, Semantics, Target,
 };
 pub use daemon::{Bound, Gateway, GatewaySettings, Serving};
 pub use feed::Feed;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -231,6 +231,11 @@
 
     /// Publishes a new version of the configuration that accepts the API keys `keys`.
     pub fn configure(&mut self, keys: &[&str]) {
+        self.configure_with(keys, |_| {});
+    }
+
+    /// Publishes such a configuration after `edit` has changed its document.
+    pub fn configure_with(&mut self, keys: &[&str], edit: impl FnOnce(&mut Value)) {
         self.config_version += 1;
         let routes = [
             route_document("/posting/", "non_idempotent", false),
@@ -238,7 +243,7 @@
             route_document("/stream/", "streaming", true),
             route_document("/stream-once/", "streaming", false),
         ];
-        let config = json!({
+        let mut config = json!({
             "version": self.config_version,
             "routes": routes,
             "services": [{"name": "desk", "inferenceEngine": self.engine}],
@@ -246,6 +251,7 @@
                 "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "growers", "apiKeys": keys}],
         });
+        edit(&mut config);
         self.store.put("keyed.op", "config", &config);
     }
 
