wire: a status over 599 is no answer

Cause: the library takes any three digits from 100 on for a status, and nothing bounded it above; RFC 9110, section 15, ends at 599.

Evidence: answers::answers_whose_status_is_none_become_502 failed before at 'HTTP/1.1 600 OK' (600 in place of 502); the lines below 100, 101, and malformed ones became 502 before, too.

Change: a response whose status is not from 100 to 599 is malformed, on every client connection. The attempt may have run, so that the caller gets 502.

--- /dev/null
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -0,0 +1,101 @@
+//! Tests of what ends an answer and which status lines an endpoint may send.
+
+use std::time::Duration;
+
+use baobabvane_gateway::{Configuration, Semantics};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+
+use crate::{
+    endpoint::EarlyAnswer,
+    fixture::{Answer, GatewayFixture, HOST, block_on, route},
+};
+
+/// Starts a gateway with a route for bookings and one for streams that may not be resumed.
+async fn start_gateway(endpoint: &EarlyAnswer) -> GatewayFixture {
+    let routes = [("postings", Semantics::NonIdempotent), ("quotes", Semantics::Stream)];
+    let routes = routes.map(|(name, semantics)| route(name, semantics)).to_vec();
+    let configuration = Configuration { version: 1, routes, ..Configuration::default() };
+    let gateway = GatewayFixture::start_with(&[], configuration).await;
+    gateway.list_entries(vec![endpoint.entry.clone()]);
+    gateway
+}
+
+/// Sends a body; returns `None` if the answer breaks off.
+async fn upload(gateway: &GatewayFixture, path: &str, len: usize) -> Option<Answer> {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static(HOST));
+    headers.insert("baobabvane-request-id", HeaderValue::from_static("r1"));
+    let mut caller = gateway.connect_caller().await;
+    let body = Bytes::from(vec![b'x'; len]);
+    caller.send_body(Method::POST, path, &headers, body).await.ok()?;
+    caller.read_answer(&Method::POST).await.ok()
+}
+
+/// Guards against a part of an answer without length that is taken for all of it when its endpoint
+/// resets the connection while the request is still being written (MIXED).
+#[test]
+fn an_answer_without_length_that_is_reset_during_an_upload_never_looks_complete() {
+    let plain =
+        "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\nbaobabvane-signature: s\r\n\r\npart";
+    let stream = "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {id}\r\nbaobabvane-signature: s\r\n\
+                  content-type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n";
+    for (path, start) in [("/postings/", plain), ("/quotes/", stream)] {
+        for upload_bytes in [20_000, 400_000, 3_000_000] {
+            for (read_bytes, delay_ms) in
+                [(0, 0), (0, 20), (0, 100), (upload_bytes / 2, 0), (upload_bytes / 2, 50)]
+            {
+                block_on(async {
+                    let delay = Duration::from_millis(delay_ms);
+                    let endpoint = EarlyAnswer::spawn("e1", "desk", start, read_bytes, delay);
+                    let gateway = start_gateway(&endpoint).await;
+                    let answer = upload(&gateway, path, upload_bytes).await;
+                    let form = (path, upload_bytes, read_bytes, delay_ms);
+                    assert!(answer.is_none_or(|a| a.status == StatusCode::BAD_GATEWAY), "{form:?}");
+                });
+            }
+        }
+    }
+}
+
+/// Guards against statuses that are none in HTTP and reach the caller as such (MIXED).
+#[test]
+fn answers_whose_status_is_none_become_502() {
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 0 OK",
+        "HTTP/1.1 00 OK",
+        "HTTP/1.1 007 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 101 OK",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 799 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 1000 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 +20 OK",
+        "HTTP/1.1 -20 OK",
+        "HTTP/1.1 1e2 OK",
+        "HTTP/1.1 0x2 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1",
+        "HTTP/2.0 200 OK",
+        "200 OK",
+    ];
+    for line in lines {
+        for path in ["/postings/", "/quotes/"] {
+            block_on(async {
+                let start = format!(
+                    "{line}\r\nbaobabvane-request-id: {{id}}\r\nbaobabvane-signature: s\r\n\
+                     content-length: 4\r\n\r\ndone"
+                );
+                let wait = Duration::from_millis(200);
+                let endpoint = EarlyAnswer::spawn("e1", "desk", &start, 4, wait);
+                let gateway = start_gateway(&endpoint).await;
+                let answer = upload(&gateway, path, 4).await.expect("an answer");
+                assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{line}");
+            });
+        }
+    }
+}
--- a/crates/gateway/tests/testsuite/endpoint.rs
+++ b/crates/gateway/tests/testsuite/endpoint.rs
@@ -524,3 +524,52 @@
     }
     Some(FloodOutcome { was_closed, bytes: written })
 }
+
+/// An endpoint on a thread of its own that answers before it has read a request, and resets the
+/// connection.
+pub(crate) struct EarlyAnswer {
+    pub(crate) entry: DiscoveredEndpoint,
+}
+
+impl EarlyAnswer {
+    /// Starts an endpoint that reads a request's head and `read_bytes` of its body, writes `start`, in
+    /// which `{id}` stands for the request's id, and resets the connection after `delay`.
+    pub(crate) fn spawn(
+        id: &str,
+        pool: &str,
+        start: &str,
+        read_bytes: usize,
+        delay: Duration,
+    ) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let start = start.to_owned();
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                answer_early(stream, &start, read_bytes, delay);
+            }
+        });
+        Self { entry: discovered_endpoint(id, pool, address) }
+    }
+}
+
+fn answer_early(mut stream: std::net::TcpStream, start: &str, read_bytes: usize, delay: Duration) {
+    use std::io::{Read, Write};
+
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let mut buf = [0; 1024];
+        let Some(len) = stream.read(&mut buf).ok().filter(|len| *len > 0) else { return };
+        bytes.extend_from_slice(&buf[..len]);
+    };
+    let mut rest = vec![0; read_bytes.saturating_sub(bytes.len() - head_end)];
+    let _ = stream.read_exact(&mut rest);
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let id = head.lines().find_map(|line| line.strip_prefix("baobabvane-request-id: "));
+    let _ = stream.write_all(start.replace("{id}", id.unwrap_or("-")).as_bytes());
+    std::thread::sleep(delay);
+    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod endpoint;
 mod fixture;
 
+mod answers;
 mod callers;
 mod discovery;
 mod floods;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -26,6 +26,9 @@
     socket,
 };
 
+/// The largest status; larger numbers are no status of HTTP
+/// ([RFC 9110, section 15](https://www.rfc-editor.org/rfc/rfc9110#section-15)).
+const MAX_STATUS: u16 = 599;
 /// Most informational responses that are skipped before a response.
 const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
 /// Maximum size of a response head, in bytes.
@@ -128,10 +131,10 @@
         if body.len() <= MAX_COALESCED_BODY_BYTES {
             buf.extend_from_slice(&body);
             self.framed.get_mut().tcp_mut().write_all(buf).await.0?;
-            return Ok(());
+        } else {
+            self.framed.get_mut().tcp_mut().write_all(buf).await.0?;
+            self.framed.get_mut().tcp_mut().write_all(body).await.0?;
         }
-        self.framed.get_mut().tcp_mut().write_all(buf).await.0?;
-        self.framed.get_mut().tcp_mut().write_all(body).await.0?;
         Ok(())
     }
 
@@ -142,10 +145,15 @@
     /// # Errors
     ///
     /// When the connection fails, or the server sends something else than a response: among others,
-    /// a switch to another protocol, or informational responses without end.
+    /// a switch to another protocol, or informational responses without end. Also after
+    /// [`ClientConn::send`] has failed: the write may have taken the only sign of a reset, so that
+    /// the rest of a close-delimited response would look complete.
     pub async fn read_head(&mut self, method: &Method) -> Result<Response<()>, WireError> {
         for _ in 0..=MAX_INFORMATIONAL_RESPONSES {
             let head = self.framed.next().await.ok_or(WireError::UnexpectedEof)??;
+            if head.status.as_u16() > MAX_STATUS {
+                return Err(WireError::Malformed(format!("status {}", head.status.as_u16())));
+            }
             if head.status == StatusCode::SWITCHING_PROTOCOLS {
                 return Err(WireError::Malformed("unsolicited switch of protocols".to_owned()));
             }
