wire: no response is read on a connection to which the request could not be written

An answer without length to an upload that is still being written, then a reset, did not reach callers as complete, as a write that fails ends the attempt before anything is read. That was the order of two steps in one caller: the kernel reports a reset once, so that a connection whose write had taken it gave out the part of the body as a whole 200.

Evidence: client::tests::no_response_is_read_after_a_write_has_failed failed before: read_head gave Ok with status 200.

Change: a connection remembers whether the last request was written to its end, and reads no response otherwise.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -92,6 +92,7 @@
         WireError::TimedOut { .. } => (408, "request too slow"),
         WireError::Malformed(_) | WireError::Framing(_) => (400, "malformed request"),
         WireError::Io(_)
+        | WireError::RequestNotWritten
         | WireError::UnexpectedEof
         | WireError::TooManyConnections
         | WireError::Evicted => return,
--- a/crates/gateway/src/caller/reply.rs
+++ b/crates/gateway/src/caller/reply.rs
@@ -60,6 +60,7 @@
 pub(super) fn for_unreadable_request(error: &WireError) -> Option<Response> {
     let (status, reason) = match error {
         WireError::Io(_)
+        | WireError::RequestNotWritten
         | WireError::UnexpectedEof
         | WireError::TooManyConnections
         | WireError::Evicted => return None,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -72,6 +72,8 @@
     accepts_close_delimited: bool,
     is_close_delimited: bool,
     requests_sent: u64,
+    /// Whether the last request was written to its end.
+    is_request_written: bool,
 }
 
 impl ClientConn {
@@ -89,6 +91,7 @@
             accepts_close_delimited: false,
             is_close_delimited: false,
             requests_sent: 0,
+            is_request_written: false,
         }
     }
 
@@ -118,6 +121,7 @@
     ) -> Result<(), WireError> {
         self.keep_alive = false;
         self.requests_sent += 1;
+        self.is_request_written = false;
         let mut headers = headers.clone();
         if !headers.contains_key(header::HOST) {
             headers.insert(header::HOST, self.host.clone());
@@ -135,6 +139,7 @@
             self.framed.get_mut().tcp_mut().write_all(buf).await.0?;
             self.framed.get_mut().tcp_mut().write_all(body).await.0?;
         }
+        self.is_request_written = true;
         Ok(())
     }
 
@@ -149,6 +154,9 @@
     /// [`ClientConn::send`] has failed: the write may have taken the only sign of a reset, so that
     /// the rest of a close-delimited response would look complete.
     pub async fn read_head(&mut self, method: &Method) -> Result<Response<()>, WireError> {
+        if !self.is_request_written {
+            return Err(WireError::RequestNotWritten);
+        }
         for _ in 0..=MAX_INFORMATIONAL_RESPONSES {
             let head = self.framed.next().await.ok_or(WireError::UnexpectedEof)??;
             if head.status.as_u16() > MAX_STATUS {
@@ -244,3 +252,45 @@
         .is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"));
     version == Version::HTTP_11 && !has_close
 }
+
+#[cfg(test)]
+mod tests {
+    use std::{
+        io::{Read, Write},
+        net::TcpListener,
+        thread,
+    };
+
+    use monoio::{LegacyDriver, RuntimeBuilder};
+
+    use super::*;
+
+    /// Guards against a response that is read after its request could not be written. The kernel reports
+    /// a reset once; if the write has taken it, the next read sees a proper end, so that a part of a
+    /// close-delimited response would look complete.
+    #[test]
+    fn no_response_is_read_after_a_write_has_failed() {
+        const BODY_BYTES: usize = 16 << 20;
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let _ = stream.read(&mut [0; 1024]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart");
+            // Closing a connection with unread bytes resets it.
+        });
+        let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+        runtime.build().expect("a runtime").block_on(async {
+            let connector = Connector { address, timeout: Duration::from_secs(5) };
+            let mut conn = connector.connect().await.expect("a connection");
+            conn.accept_close_delimited();
+            let body = Bytes::from(vec![b'x'; BODY_BYTES]);
+            let uri = "/".parse().expect("a path");
+            let sent = conn.send(&Method::POST, &uri, &HeaderMap::new(), body).await;
+            assert!(sent.is_err(), "the request was written");
+            let response = conn.read_head(&Method::POST).await;
+            assert!(response.is_err(), "{response:?}");
+        });
+        server.join().expect("the server ends");
+    }
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -52,6 +52,9 @@
         /// The operation that timed out, such as "reading the head".
         operation: &'static str,
     },
+    /// The request was not written to its end, so that no response is read.
+    #[error("the request was not written to its end")]
+    RequestNotWritten,
     /// The peer closed the connection before the end of the message.
     #[error("connection closed before the end of the message")]
     UnexpectedEof,
