gateway: the parts of a prompt count without a token usage

Cause: the parts were read only after the token usage header.

Change: parts are read whenever they are stated. Without a token usage, the tokens that schedule the request are the sum of its parts, and the quota charges its default as before.

--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -39,7 +39,7 @@
     pub(crate) tokens: u32,
     /// Most tokens that the answer may have, with the same bound.
     pub(crate) max_answer_tokens: u32,
-    /// Expected tokens of the answer; at least 1 if the request has a valid token usage header.
+    /// Expected tokens of the answer; at least 1 for a stream.
     pub(crate) expected_answer_tokens: u32,
     /// The tokens of the prompt and the most of the answer, as the request states them; `None` if it
     /// does not.
@@ -83,15 +83,16 @@
         engine: Option<Engine>,
         memory: &Rc<MemoryBudget>,
     ) -> Result<Self, NoMemoryForPrompt> {
-        let Some((tokens, max_answer_tokens)) = token_usage(headers, names) else {
-            return Ok(Self::default());
-        };
+        let parts = headers::text(headers, &names.prompt_parts).unwrap_or("");
+        let hint = headers::count(headers, &names.length_hint);
+        let stated = token_usage(headers, names);
+        // The parts count even without a token usage: they may crash endpoints or be cached.
+        let (tokens, max_answer_tokens) = stated
+            .unwrap_or((part_ends(parts).last().map_or(0, |(_, end)| end), hint.unwrap_or(0)));
         let cache_tokens = engine.map_or(0, |e| e.cache_tokens);
         let max_tokens = if cache_tokens > 0 { cache_tokens } else { MAX_ENGINE_TOKENS };
         let bounded = |tokens: u64| tokens.min(u64::from(max_tokens)) as u32;
-        let (hint, max_answer) =
-            (headers::count(headers, &names.length_hint).map(bounded), bounded(max_answer_tokens));
-        let parts = headers::text(headers, &names.prompt_parts).unwrap_or("");
+        let max_answer = bounded(max_answer_tokens);
         let max_blocks = (cache_tokens / BLOCK_TOKENS) as usize;
         let bytes = count_blocks(parts, max_blocks) * size_of::<u64>() * BLOCK_COPIES
             + split_parts(parts).count() * size_of::<PromptPart>();
@@ -99,8 +100,8 @@
         Ok(Self {
             tokens: bounded(tokens),
             max_answer_tokens: max_answer,
-            expected_answer_tokens: hint.unwrap_or(max_answer).min(max_answer).max(1),
-            stated_tokens: Some(tokens.saturating_add(max_answer_tokens)),
+            expected_answer_tokens: hint.map_or(max_answer, bounded).min(max_answer).max(1),
+            stated_tokens: stated.map(|(tokens, answer)| tokens.saturating_add(answer)),
             has_length_hint: hint.is_some(),
             prefix_blocks: prefix_blocks(parts, max_blocks),
             shared_parts: shared_parts(parts),
@@ -226,6 +227,20 @@
         assert_eq!(shared_parts(&many).0.len(), MAX_PARTS - 1);
     }
 
+    /// Guards against parts that count only with a token usage (BUDGET, review/7).
+    #[test]
+    fn parts_count_without_a_token_usage() {
+        let names = HeaderNames::default();
+        let mut headers = HeaderMap::new();
+        headers.insert(&names.prompt_parts, HeaderValue::from_static("5c1e:512,91bd:256,aa:7"));
+        let engine = Engine { cache_tokens: 500_000, tokens_per_event: 6 };
+        let memory = MemoryBudget::new(64 << 20);
+        let prompt = Prompt::from_headers(&headers, &names, Some(engine), &memory).unwrap();
+        assert_eq!((prompt.tokens, prompt.prefix_blocks.len()), (775, 3));
+        assert_eq!(prompt.shared_parts.0.len(), 2);
+        assert_eq!(prompt.quota_tokens(), None);
+    }
+
     /// Guards against lists that no budget counts.
     #[test]
     fn blocks_are_charged_to_the_memory_budget() {
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -74,6 +74,22 @@
     }
 }
 
+/// Guards against a part that no one looks for in requests that do not state their tokens (BUDGET,
+/// review/7).
+#[test]
+fn deadly_prompts_without_a_token_usage_stop_being_sent() {
+    block_on(async {
+        let endpoints = spawn_endpoints();
+        let gateway = GatewayFixture::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        for number in 0..REQUESTS {
+            let parts = format!("common:60,dead:100,own{number}:500");
+            ask_with(&gateway, &[("baobabvane-prompt-parts", &parts)]).await;
+        }
+        let sent = count_deadly(&endpoints);
+        assert!(sent <= MAX_SENT, "{sent} requests of {REQUESTS} were sent");
+    });
+}
+
 #[test]
 fn errors_of_endpoints_do_not_acquit_a_part_that_crashes_them() {
     block_on(async {
