wire: no bytes follow a response to HEAD

Cause: the connection wrote the body of whatever response it was given, and nobody who wrote one knew the method.

Change: the connection keeps the method of its request and leaves out bodies, chunks and the last chunk of responses to HEAD, also of refusals of heads that cannot be decoded.

--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use baobabvane_gateway::{Configuration, Semantics};
+use baobabvane_gateway::{Configuration, Route, Semantics, Target};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use crate::{
-    endpoint::EarlyAnswer,
+    endpoint::{EarlyAnswer, Endpoint, Script},
     fixture::{Answer, GatewayFixture, HOST, block_on, route},
 };
 
@@ -99,3 +99,34 @@
         }
     }
 }
+
+/// Guards against a body behind an answer to HEAD, which the caller takes for the beginning of its next
+/// answer (MIXED, review/10).
+#[test]
+fn no_bytes_follow_an_answer_to_head() {
+    block_on(async {
+        let routes = [
+            ("postings", Semantics::NonIdempotent, "desk"),
+            ("quotes", Semantics::Stream, "streams"),
+            ("empty", Semantics::NonIdempotent, "none"),
+        ];
+        let routes = routes.map(|(name, semantics, pool)| Route {
+            targets: vec![Target { pool: pool.to_owned(), weight: 1 }],
+            ..route(name, semantics)
+        });
+        let configuration =
+            Configuration { version: 1, routes: routes.to_vec(), ..Configuration::default() };
+        let desk = Endpoint::spawn("e1", "desk", &[Script::Answer(200, "done")]);
+        let streams = Endpoint::spawn("e2", "streams", &[Script::Events(3)]);
+        let gateway = GatewayFixture::start_with(&[&desk, &streams], configuration).await;
+        let mut caller = gateway.connect_caller().await;
+        for (path, status) in
+            [("/none/", 404), ("/empty/", 503), ("/postings/", 200), ("/quotes/", 200)]
+        {
+            let head = caller.request(Method::HEAD, path, &[]).await.expect("an answer");
+            assert_eq!((head.status.as_u16(), head.body.as_str()), (status, ""), "{path}");
+            let next = caller.request(Method::GET, "/postings/", &[]).await.expect("an answer");
+            assert_eq!((next.status.as_u16(), next.body.as_str()), (200, "done"), "{path}");
+        }
+    });
+}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -62,6 +62,8 @@
     limits: Limits,
     keep_alive: bool,
     request_started_at: Instant,
+    /// Whether the latest request is a `HEAD`, whose response ends with its head.
+    is_head: bool,
     budget: Option<Rc<MemoryBudget>>,
     /// The memory for the body of the latest request, until its response is written.
     body_permit: Option<Permit>,
@@ -80,6 +82,7 @@
             limits,
             keep_alive: true,
             request_started_at: Instant::now(),
+            is_head: false,
             budget: None,
             body_permit: None,
         }
@@ -133,9 +136,14 @@
         self.request_started_at = Instant::now();
         let head = match timeout(self.limits.head_timeout, self.framed.next()).await {
             Ok(None) => return self.check_closed_between_requests(),
-            Ok(Some(head)) => head?,
-            Err(_) => return Err(WireError::TimedOut { operation: "reading the head" }),
+            Ok(Some(head)) => head,
+            Err(_) => Err(WireError::TimedOut { operation: "reading the head" }),
         };
+        self.is_head = match &head {
+            Ok(head) => head.method == Method::HEAD,
+            Err(_) => self.framed.read_buffer().starts_with(b"HEAD "),
+        };
+        let head = head?;
         let framing = match parse_framing(head.version, &head.headers)? {
             Framing::NoLength => Framing::Empty,
             stated => stated,
@@ -156,7 +164,8 @@
         Ok(Some(Request::from_parts(head, body)))
     }
 
-    /// Writes a complete response; large bodies are not copied.
+    /// Writes a complete response; large bodies are not copied. The body of a response to `HEAD` is
+    /// left out.
     ///
     /// # Errors
     ///
@@ -171,8 +180,13 @@
         self.set_connection_header(&mut head.headers);
         let length = match head.status {
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => BodyLength::None,
+            // The response to GET may have a body.
+            _ if self.is_head && body.is_empty() => BodyLength::None,
             _ => BodyLength::Known(body.len()),
         };
+        if self.is_head {
+            body = Body::default();
+        }
         let mut buf = Vec::with_capacity(HEAD_BUFFER_BYTES);
         encode::write_response_head(&mut buf, head.status, &head.headers, length);
         // The request's head may be as large as a response, and is not needed any more.
@@ -203,7 +217,7 @@
 
     /// Sends one chunk immediately; empty data is ignored, as an empty chunk ends the body.
     pub async fn write_chunk(&mut self, data: &[u8]) -> Result<(), WireError> {
-        if data.is_empty() {
+        if data.is_empty() || self.is_head {
             return Ok(());
         }
         let mut buf = Vec::with_capacity(data.len() + MAX_CHUNK_FRAME_BYTES);
@@ -213,7 +227,10 @@
 
     /// Sends the last chunk, which marks a chunked response as complete.
     pub async fn end_stream(&mut self) -> Result<(), WireError> {
-        let written = self.write_buf(LAST_CHUNK.to_vec()).await;
+        let written = match self.is_head {
+            true => Ok(()),
+            false => self.write_buf(LAST_CHUNK.to_vec()).await,
+        };
         self.body_permit = None;
         written
     }
