--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -540,6 +540,13 @@
             in_flight.end(Ending::Failed);
             return Err(AttemptFailure::MayHaveRun("the answer is not the endpoint's"));
         }
+        if promises_not_run(parts.status) {
+            self.cx.endpoint_connections.release(grant.endpoint, upstream, &parts.headers);
+            in_flight.end(Ending::Failed);
+            return Err(AttemptFailure::MayHaveRun(
+                "the endpoint ran it and promised that it had not",
+            ));
+        }
         let is_close_delimited = upstream.is_close_delimited();
         self.cx.endpoint_connections.release(grant.endpoint, upstream, &parts.headers);
         self.remove_unforwarded_headers(&mut parts.headers);
@@ -594,6 +601,18 @@
     }
 }
 
+/// Returns whether a status tells callers that their request has not run and never will, so that they
+/// may send it again. An endpoint that says so does not state it by the status alone.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns what the caller gets after the last attempt failed: an endpoint's 5xx response, if
 /// there was one, or a failure. `verdict` covers all attempts.
 fn final_result(
--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -130,3 +130,27 @@
         }
     });
 }
+
+/// Guards against a status that promises that a request has not run, from an endpoint that ran it and does
+/// not say otherwise; its caller would send the request again (REFUSED, more-refused).
+#[test]
+fn a_status_that_promises_that_a_request_has_not_run_is_not_forwarded_if_it_has() {
+    for status in [408, 429, 503] {
+        for semantics in [Semantics::NonIdempotent, Semantics::Idempotent, Semantics::Stream] {
+            block_on(async {
+                let endpoint = Endpoint::spawn("e1", "desk", &[Script::Answer(status, "away")]);
+                let configuration = Configuration {
+                    version: 1,
+                    routes: vec![route("orders", semantics)],
+                    ..Configuration::default()
+                };
+                let gateway = GatewayFixture::start_with(&[&endpoint], configuration).await;
+                let answer = gateway.post("/orders/").await;
+                assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{status} {semantics:?}");
+                assert!(!answer.headers.contains_key("baobabvane-signature"));
+                let runs = endpoint.received_requests().len();
+                assert_eq!(runs == 1, semantics != Semantics::Idempotent, "{runs} runs");
+            });
+        }
+    }
+}
