quarantine: the suspects of long prompts are all remembered

Cause: 64 suspects were remembered, fewer than one prompt has parts, and the rest were forgotten at random.

Evidence: quarantine::a_deadly_part_is_found_among_a_hundred_shared_ones on: the sound prompt before number 5 is refused.

Change: 4,096 suspects, twice the parts of the longest prompt.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -46,8 +46,9 @@
 const SIMULTANEOUS_MS: Millis = 50.0;
 /// The number of parts whose last answer is remembered; the oldest are forgotten.
 const MAX_REMEMBERED_PARTS: usize = 8_192;
-/// The number of suspect parts; the least likely ones are forgotten.
-const MAX_SUSPECTS: usize = 64;
+/// The number of suspect parts, several times those of a long prompt; the least likely ones are
+/// forgotten.
+const MAX_SUSPECTS: usize = 4_096;
 /// The number of answers whose end is not explained yet.
 const MAX_OPEN_ENDS: usize = 1_024;
 /// The number of crashes that are remembered of one part, more than a burst has before all
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -40,6 +40,8 @@
     has_other_faults: bool,
     /// The longest time for which a request with the deadly part is answered before the crash.
     deadly_answer_ms: Millis,
+    /// The number of further parts that all prompts with the companion share.
+    shared_parts: u32,
 }
 
 struct Request {
@@ -133,10 +135,12 @@
             if self.scenario.is_deadly_first {
                 parts.reverse();
             }
+            parts.extend(self.shared_parts());
             self.offer(parts, now);
         }
         if self.arrives(self.scenario.companion_per_s) {
-            let is_blocked = !self.offer(vec![COMPANION], now);
+            let parts = std::iter::once(COMPANION).chain(self.shared_parts()).collect();
+            let is_blocked = !self.offer(parts, now);
             self.outcome.companions += 1;
             self.outcome.blocked_companions += usize::from(is_blocked);
         }
@@ -149,6 +153,10 @@
         }
     }
 
+    fn shared_parts(&self) -> impl Iterator<Item = PromptPart> + use<> {
+        (10_000..10_000 + self.scenario.shared_parts).map(PromptPart)
+    }
+
     /// Sends a new request unless it is blocked; returns whether it was sent.
     fn offer(&mut self, parts: Vec<PromptPart>, now: Millis) -> bool {
         let instance = self.rng.random_range(0..self.fleet.len());
@@ -305,6 +313,7 @@
         max_attempts: rng.random_range(1..4),
         has_other_faults: rng.random::<f64>() < 0.5,
         deadly_answer_ms: 0.0,
+        shared_parts: 0,
     }
 }
 
@@ -341,6 +350,33 @@
     }
 }
 
+/// Guards against a part that is forgotten among the many sound ones of its prompts (BUDGET,
+/// more-parts).
+#[test]
+fn a_part_that_crashes_endpoints_is_found_among_many_shared_ones() {
+    for seed in 0..LARGE_SEEDS {
+        for (shared_parts, deadly_answer_ms) in [(100, 0.0), (1_000, 0.0), (100, 300.0)] {
+            let many = Scenario { shared_parts, deadly_answer_ms, ..scenario(seed) };
+            assert_few_deadly_are_sent_once_known(many);
+        }
+    }
+}
+
+/// Guards against sound parts that are blocked in place of a deadly one that was forgotten, before any
+/// answer has told them apart.
+#[test]
+fn only_prompts_with_all_suspects_are_blocked_while_none_has_been_answered() {
+    let shared: Vec<PromptPart> = (100..1_200).map(PromptPart).collect();
+    let deadly: Vec<PromptPart> = shared.iter().copied().chain([DEADLY]).collect();
+    let mut quarantine = Quarantine::default();
+    for process in 0..3 {
+        let now = 500.0 * f64::from(process);
+        quarantine.record_crash(ProcessId(process), &deadly, false, now);
+    }
+    assert!(quarantine.blocked(&deadly, false, 2_000.0).is_some());
+    assert_eq!(quarantine.blocked(&shared, false, 2_000.0), None);
+}
+
 #[test]
 fn block_outlasts_a_burst_of_crashes_in_a_large_fleet() {
     for seed in 0..LARGE_SEEDS {
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -90,6 +90,31 @@
     });
 }
 
+/// Guards against a deadly part that is forgotten among more suspects than are remembered (BUDGET,
+/// more-parts).
+#[test]
+fn a_deadly_part_is_found_among_a_hundred_shared_ones() {
+    block_on(async {
+        let endpoints = spawn_endpoints();
+        let gateway = GatewayFixture::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        let shared: String = (0..100).map(|n| format!("{:08x}:8,", 0x1000_0000 + n)).collect();
+        let sound = format!("{shared}own:500");
+        let usage = ("baobabvane-token-usage", "1500,50");
+        let is_answered = async || {
+            let res = ask_with(&gateway, &[("baobabvane-prompt-parts", &sound), usage]).await;
+            res.is_some_and(|res| res.status == StatusCode::OK)
+        };
+        for number in 0..REQUESTS {
+            assert!(is_answered().await, "the sound prompt before number {number}");
+            let parts = format!("{shared}dead:100,own{number}:500");
+            ask_with(&gateway, &[("baobabvane-prompt-parts", &parts), usage]).await;
+        }
+        let sent = count_deadly(&endpoints);
+        assert!(sent <= MAX_SENT, "{sent} requests of {REQUESTS} were sent");
+        assert!(is_answered().await);
+    });
+}
+
 #[test]
 fn errors_of_endpoints_do_not_acquit_a_part_that_crashes_them() {
     block_on(async {
