platform: weights of a split may be fractions

Callers saw: each request of a route that is split by 0.4, 0.35 and 0.25 got 503 (more-split, CONFIG).

Cause: weights were rounded to whole numbers, so that all three were 0.

Change: weights are decimal numbers up to the choice of a pool.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -63,12 +63,13 @@
 }
 
 /// A pool that serves a weighted share of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The name of the pool.
     pub pool: String,
-    /// The weight relative to the route's other targets; 0 sends no requests.
-    pub weight: u32,
+    /// The weight relative to the route's other targets, of any size or fraction; 0 sends no
+    /// requests.
+    pub weight: f64,
 }
 
 /// Whether a request that may have run can be retried.
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -81,11 +81,11 @@
 /// Picks a target with probability proportional to its weight; `draw` is uniformly
 /// distributed over 0 to 1.
 pub(crate) fn pick_target(targets: &[Target], draw: f64) -> Option<&Target> {
-    let total: f64 = targets.iter().map(|t| f64::from(t.weight)).sum();
+    let mut weighted = targets.iter().filter(|t| t.weight > 0.0);
+    let total: f64 = weighted.clone().map(|t| t.weight).sum();
     let mut remaining = draw * total;
-    let mut weighted = targets.iter().filter(|t| t.weight > 0);
     for target in weighted.clone() {
-        remaining -= f64::from(target.weight);
+        remaining -= target.weight;
         if remaining < 0.0 {
             return Some(target);
         }
@@ -130,7 +130,7 @@
     #[test]
     fn targets_are_picked_by_weight() {
         let target = |pool: &str, weight| Target { pool: pool.to_owned(), weight };
-        let targets = [target("a", 90), target("b", 0), target("c", 10)];
+        let targets = [target("a", 90.0), target("b", 0.0), target("c", 10.0)];
         let pool = |draw| pick_target(&targets, draw).map(|t| t.pool.clone());
         assert_eq!(pool(0.0).as_deref(), Some("a"));
         assert_eq!(pool(0.899).as_deref(), Some("a"));
@@ -138,4 +138,22 @@
         assert_eq!(pool(1.0).as_deref(), Some("c"));
         assert_eq!(pick_target(&[], 0.5), None);
     }
+
+    /// Guards against fractions that are rounded to no weight at all (CONFIG, more-split).
+    #[test]
+    fn targets_are_picked_by_fractions() {
+        let target = |pool: &str, weight| Target { pool: pool.to_owned(), weight };
+        for (weights, at_half) in [([0.4, 0.35, 0.25], "b"), ([0.9, 0.1, 0.0], "a")] {
+            let pools = ["a", "b", "c"].into_iter().zip(weights);
+            let targets: Vec<Target> = pools.map(|(pool, weight)| target(pool, weight)).collect();
+            let count = |pool: &str| {
+                let draws = (0..1_000).map(|i| f64::from(i) / 1_000.0);
+                draws.filter(|d| pick_target(&targets, *d).is_some_and(|t| t.pool == pool)).count()
+            };
+            for (pool, weight) in ["a", "b", "c"].into_iter().zip(weights) {
+                assert!(count(pool).abs_diff((weight * 1_000.0) as usize) <= 1, "{pool}");
+            }
+            assert_eq!(pick_target(&targets, 0.5).map(|t| t.pool.as_str()), Some(at_half));
+        }
+    }
 }
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -16,7 +16,7 @@
         max_attempts: 2,
         is_public: false,
         is_resumable: false,
-        targets: vec![Target { pool: "desk".to_owned(), weight: 1 }],
+        targets: vec![Target { pool: "desk".to_owned(), weight: 1.0 }],
     }
 }
 
--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -111,7 +111,7 @@
             ("empty", Semantics::NonIdempotent, "none"),
         ];
         let routes = routes.map(|(name, semantics, pool)| Route {
-            targets: vec![Target { pool: pool.to_owned(), weight: 1 }],
+            targets: vec![Target { pool: pool.to_owned(), weight: 1.0 }],
             ..route(name, semantics)
         });
         let configuration =
--- a/crates/gateway/tests/testsuite/fixture.rs
+++ b/crates/gateway/tests/testsuite/fixture.rs
@@ -49,7 +49,7 @@
         max_attempts: 3,
         is_public: false,
         is_resumable: false,
-        targets: vec![Target { pool: "desk".to_owned(), weight: 1 }],
+        targets: vec![Target { pool: "desk".to_owned(), weight: 1.0 }],
     }
 }
 
--- a/crates/gateway/tests/testsuite/floods.rs
+++ b/crates/gateway/tests/testsuite/floods.rs
@@ -26,7 +26,7 @@
     let routes = routes.map(|(name, semantics, pool)| {
         let mut route = route(name, semantics);
         route.timeout_ms = TIMEOUT_MS;
-        route.targets = vec![Target { pool: pool.to_owned(), weight: 1 }];
+        route.targets = vec![Target { pool: pool.to_owned(), weight: 1.0 }];
         route
     });
     let configuration =
