quarantine: crashes of other causes count for a part, and one request tries a block that may be wrong

Cause: crashes counted as if endpoints ended for no other reason, and only an answer acquits a part, of which a blocked one gets none.

Evidence: with the changes taken out one by one, a_rare_part_is_not_blamed_for_some_of_many_crashes and a_sound_part_is_tried_again_after_endpoints_ended_one_after_the_other fail (crates/decide/tests/quarantine.rs).

Change: each other crash within a second of those of a part raises what blocks it. One instance sends one request with a part whose crashes came together, 3 s after the last if the part was sound before, else 30 s.

Why this works: a sound part's answer lifts the block; a deadly one costs one more endpoint, and its late crash confirms the block.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -35,10 +35,19 @@
 /// An answer that goes on for so long after its first data lasts: the endpoint has not crashed at its
 /// beginning.
 pub const LASTING_ANSWER_MS: Millis = 1_000.0;
-/// A crash within this time of the end of an answer may explain it.
-const OPEN_END_MS: Millis = 1_000.0;
+/// Other crashes within this time of those of a part show that endpoints end for other reasons, too.
+const BURST_MS: Millis = 1_000.0;
 /// The number of verdicts, the likeliest ones.
 const MAX_VERDICTS: usize = 32;
+/// The time after the last crash, when endpoints are back, from which on one request tries whether a
+/// part that was sound before is sound after all.
+const PROBE_DELAY_PROVEN_MS: Millis = 3_000.0;
+/// The same for other parts, whose next request probably ends one more endpoint.
+const PROBE_DELAY_MS: Millis = 30_000.0;
+/// The time after which another request is tried if the first one told nothing.
+const PROBE_INTERVAL_MS: Millis = 10_000.0;
+/// The number of requests that try one blocked part.
+const MAX_PROBES: u32 = 2;
 /// The interval at which expired evidence is forgotten.
 const EXPIRY_INTERVAL_MS: Millis = 1_000.0;
 /// Crashes within this time count as one: a prompt ends one endpoint at a time, while a loss of
@@ -202,6 +211,13 @@
     }
 }
 
+/// The requests with a blocked part that this instance sent to try it.
+#[derive(Clone, Copy, Debug)]
+struct Probes {
+    count: u32,
+    last_at: Millis,
+}
+
 /// An answer that ended with its connection, which does not show that it is complete.
 #[derive(Clone, Debug)]
 struct OpenEnd {
@@ -252,6 +268,7 @@
     /// The parts that were blocked before this instance began: since when they are known, and until
     /// when they are blocked.
     restored: FxHashMap<PromptPart, (Millis, Millis)>,
+    probes: FxHashMap<PromptPart, Probes>,
     /// Answers that ended lately with their connection; a crash of the endpoint explains it.
     open_ends: VecDeque<OpenEnd>,
     /// When expired evidence was last forgotten.
@@ -322,7 +339,7 @@
         now: Millis,
     ) {
         self.settle_open_ends(now);
-        if self.crashed_at.get(&endpoint).is_some_and(|at| now - at < OPEN_END_MS) {
+        if self.crashed_at.get(&endpoint).is_some_and(|at| now - at < BURST_MS) {
             return self.record_crash(endpoint, parts, has_lasted, now);
         }
         if self.open_ends.len() >= MAX_OPEN_ENDS {
@@ -335,7 +352,7 @@
     /// Counts answers that ended with their connection as complete once their endpoint has not crashed
     /// for a while.
     pub fn settle_open_ends(&mut self, now: Millis) {
-        while self.open_ends.front().is_some_and(|end| now - end.at >= OPEN_END_MS) {
+        while self.open_ends.front().is_some_and(|end| now - end.at >= BURST_MS) {
             if let Some(end) = self.open_ends.pop_front() {
                 self.record_answer(&end.parts, Reach::Complete, now);
             }
@@ -378,17 +395,80 @@
         self.restored.insert(part, (now, now + remaining_ms.min(EVIDENCE_LIFETIME_MS)));
     }
 
-    /// Returns the blocks that an instance that begins to run should know; parts that are blocked
-    /// only together are left out.
+    /// Returns the blocks that an instance that begins to run should know. Parts that are blocked
+    /// only together are left out, and those that were sound before and may be again.
     pub fn lasting_blocks(&mut self, now: Millis) -> Vec<Block> {
         self.judge(now);
         let single = self.verdicts.iter().filter(|v| v.is_blocked() && v.parts.len() == 1);
         single
+            .filter(|verdict| !self.is_doubtful(verdict.parts[0]))
             .filter_map(|verdict| self.block(verdict, now))
             .filter(|block| EVIDENCE_LIFETIME_MS - block.remaining_ms >= LASTING_BLOCK_MS)
             .collect()
     }
 
+    /// Returns whether a part has been in answers that lasted, and all its crashes came together.
+    fn is_doubtful(&self, part: PromptPart) -> bool {
+        self.proofs.contains_key(&part) && self.is_burst(part)
+    }
+
+    /// Returns whether the crashes that count against a part came together, as those of endpoints that
+    /// end for another reason do.
+    fn is_burst(&self, part: PromptPart) -> bool {
+        let Some(suspect) = self.suspects.get(&part) else { return false };
+        let proof = self.proofs.get(&part).copied().unwrap_or(Proof::NONE);
+        let counted = suspect.crashes.iter().filter(|crash| {
+            crash.at > proof.refutes_until(crash.has_lasted) && !self.is_refuted_by_work(crash)
+        });
+        let times: Vec<Millis> = counted.map(|crash| crash.at).collect();
+        times.windows(2).all(|pair| pair[1] - pair[0] < PROBE_DELAY_PROVEN_MS)
+    }
+
+    /// Returns whether a blocked request with these parts may be sent to try whether they are sound
+    /// after all, and counts it. `is_chosen` tells whether this instance tries a part, which only one
+    /// of the fleet does.
+    ///
+    /// Endpoints that end one after the other for another reason can get a sound part blocked, and
+    /// no answer would acquit it. A part is not tried again once a crash followed the others late.
+    pub fn begin_probe(
+        &mut self,
+        parts: &[PromptPart],
+        now: Millis,
+        is_chosen: impl Fn(PromptPart) -> bool,
+    ) -> bool {
+        if parts.iter().any(|part| self.restored_block(*part, now).is_some()) {
+            return false;
+        }
+        let blocking = self.verdicts.iter().filter(|v| v.is_blocked() && v.applies_to(parts));
+        let tried: Option<Vec<PromptPart>> = blocking
+            .map(|verdict| {
+                let part = verdict.parts[0];
+                let may_try = self.may_be_tried(part, now) && is_chosen(part);
+                may_try.then_some(part)
+            })
+            .collect();
+        let Some(tried) = tried.filter(|tried| !tried.is_empty()) else { return false };
+        for part in tried {
+            let probes = self.probes.entry(part).or_insert(Probes { count: 0, last_at: now });
+            *probes = Probes { count: probes.count + 1, last_at: now };
+        }
+        true
+    }
+
+    fn may_be_tried(&self, part: PromptPart, now: Millis) -> bool {
+        let Some(suspect) = self.suspects.get(&part) else { return false };
+        let delay = match self.proofs.contains_key(&part) {
+            true => PROBE_DELAY_PROVEN_MS,
+            false => PROBE_DELAY_MS,
+        };
+        let is_due = now - suspect.newest_crash_at() >= delay && self.is_burst(part);
+        let may_repeat = self
+            .probes
+            .get(&part)
+            .is_none_or(|p| p.count < MAX_PROBES && now - p.last_at >= PROBE_INTERVAL_MS);
+        is_due && may_repeat
+    }
+
     /// Returns why a request with these parts must not be sent, or `None` if it may.
     pub fn blocked(&mut self, parts: &[PromptPart], is_retry: bool, now: Millis) -> Option<Block> {
         self.judge(now);
@@ -640,10 +720,11 @@
         let repeated = self.suspects.iter().filter(|(_, suspect)| suspect.crashes.len() > 1);
         let mut open: Vec<PromptPart> =
             repeated.map(|(part, _)| *part).filter(is_candidate).collect();
+        let all_crashes = if open.is_empty() { Vec::new() } else { self.open_crashes() };
         while self.verdicts.len() < MAX_VERDICTS {
             let mut ranked = Vec::with_capacity(open.len());
             for part in open {
-                if let Some(rank) = self.rank(part, &explained) {
+                if let Some(rank) = self.rank(part, &explained, &all_crashes) {
                     ranked.push((rank, part));
                 }
             }
@@ -668,6 +749,18 @@
         }
     }
 
+    /// Returns the crashes of endpoints that do not work after all, the earliest first.
+    fn open_crashes(&self) -> Vec<(Millis, ProcessId)> {
+        let mut seen = FxHashSet::default();
+        let all = self.suspects.values().flat_map(|suspect| &suspect.crashes);
+        let mut crashes: Vec<(Millis, ProcessId)> = all
+            .filter(|crash| !self.is_refuted_by_work(crash) && seen.insert(crash.process))
+            .map(|crash| (crash.at, crash.process))
+            .collect();
+        crashes.sort_by(|a, b| a.0.total_cmp(&b.0));
+        crashes
+    }
+
     /// Returns whether the endpoint answered a request that was sent after it seemed to crash.
     fn is_refuted_by_work(&self, crash: &Crash) -> bool {
         let sent_at = self.working_at.get(&crash.process);
@@ -676,13 +769,28 @@
 
     /// Returns how likely a part caused the crashes that are not explained yet, or `None` if there
     /// are none.
-    fn rank(&self, part: PromptPart, explained: &FxHashSet<ProcessId>) -> Option<Likelihood> {
-        let CrashCount { crashes, points } = self.count(part, explained);
+    fn rank(
+        &self,
+        part: PromptPart,
+        explained: &FxHashSet<ProcessId>,
+        all_crashes: &[(Millis, ProcessId)],
+    ) -> Option<Likelihood> {
+        let CrashCount { crashes, points, first_at, last_at } = self.count(part, explained);
         let lasting_at = self.proofs.get(&part).map(|proof| proof.lasting_at);
-        let points_to_block = match lasting_at {
+        let mut points_to_block = match lasting_at {
             Some(_) => POINTS_TO_BLOCK_PROVEN,
             None => POINTS_TO_BLOCK,
         };
+        if points + EARLY_CRASH_POINTS >= points_to_block {
+            let own: FxHashSet<ProcessId> =
+                self.suspects[&part].crashes.iter().map(|crash| crash.process).collect();
+            let others = all_crashes.iter().filter(|(at, process)| {
+                (first_at - BURST_MS..=last_at + BURST_MS).contains(at)
+                    && !own.contains(process)
+                    && !explained.contains(process)
+            });
+            points_to_block += count_moments(others.map(|(at, _)| *at)) as u32 * LATE_CRASH_POINTS;
+        }
         (points > 0).then_some(Likelihood { points, points_to_block, crashes, lasting_at })
     }
 
@@ -690,7 +798,12 @@
     /// endpoint does not work after all.
     fn count(&self, part: PromptPart, explained: &FxHashSet<ProcessId>) -> CrashCount {
         let proof = self.proofs.get(&part).copied().unwrap_or(Proof::NONE);
-        let mut count = CrashCount { crashes: 0, points: 0 };
+        let mut count = CrashCount {
+            crashes: 0,
+            points: 0,
+            first_at: Millis::INFINITY,
+            last_at: Millis::NEG_INFINITY,
+        };
         let mut moment_at = Millis::NEG_INFINITY;
         let mut moment_points = 0;
         let crashes = &self.suspects[&part].crashes;
@@ -709,6 +822,8 @@
             let points = if crash.has_lasted { LATE_CRASH_POINTS } else { EARLY_CRASH_POINTS };
             count.points += points.saturating_sub(moment_points);
             moment_points = moment_points.max(points);
+            count.first_at = count.first_at.min(crash.at);
+            count.last_at = crash.at;
         }
         count
     }
@@ -720,6 +835,21 @@
     /// Those at the same moment count as one.
     crashes: usize,
     points: u32,
+    first_at: Millis,
+    last_at: Millis,
+}
+
+/// Counts times in order; those that are close together count as one.
+fn count_moments(times: impl Iterator<Item = Millis>) -> usize {
+    let mut moment_at = Millis::NEG_INFINITY;
+    let is_new = |at: &Millis| {
+        let is_new = at - moment_at >= SIMULTANEOUS_MS;
+        if is_new {
+            moment_at = *at;
+        }
+        is_new
+    };
+    times.filter(is_new).count()
 }
 
 /// Returns whether `at` is later than `known` even if both come from reports.
--- a/crates/decide/src/rate_share.rs
+++ b/crates/decide/src/rate_share.rs
@@ -73,6 +73,14 @@
         Self { own: Sender { id: 0, zone: 0, demand_per_s: 0.0 }, others: Vec::new(), live_share }
     }
 
+    /// Returns whether this instance is the one of the fleet that does what is due for `key`. In a
+    /// divided network, only a part with most of the known instances has one.
+    pub fn is_chosen(&self, key: u32) -> bool {
+        let order = |sender: &Sender| OrderedF64(draw(ProcessId(key), sender));
+        let own_order = order(&self.own);
+        self.live_share > 0.5 && self.others.iter().all(|other| order(other) > own_order)
+    }
+
     /// Returns this instance's part of the limit `limit_per_s` of an endpoint in `zone`.
     ///
     /// Instances in the endpoint's zone come first; they reach it when zones are cut off.
@@ -170,6 +178,17 @@
             .collect()
     }
 
+    /// Guards against a task that several instances of a fleet do, or none.
+    #[test]
+    fn one_instance_is_chosen() {
+        let senders = fleet(9, |_| 1.0);
+        for key in 0..50 {
+            assert_eq!(senders.iter().filter(|s| s.is_chosen(key)).count(), 1, "{key}");
+        }
+        assert!((0..50).any(|key| senders[0].is_chosen(key)));
+        assert!(!Senders::alone(0.5).is_chosen(1));
+    }
+
     fn shares(fleet: &[Senders], limit_per_s: f64) -> Vec<RateShare> {
         fleet.iter().map(|senders| senders.share(ENDPOINT, 1, limit_per_s)).collect()
     }
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -173,7 +173,11 @@
     }
 
     fn send(&mut self, mut req: Request, now: Millis) -> bool {
-        if self.fleet[req.instance].blocked(&req.parts, req.attempts > 0, now).is_some() {
+        let quarantine = &mut self.fleet[req.instance];
+        let is_tried = |part: PromptPart| part.0 as usize % self.scenario.instances == req.instance;
+        if quarantine.blocked(&req.parts, req.attempts > 0, now).is_some()
+            && (req.attempts > 0 || !quarantine.begin_probe(&req.parts, now, is_tried))
+        {
             return false;
         }
         let up: Vec<usize> =
@@ -409,6 +413,83 @@
     }
 }
 
+/// The first part of all requests of a service whose callers keep step.
+const COMMON: PromptPart = PromptPart(9);
+
+/// Plays a service of six endpoints that end one after the other, while none of the requests that
+/// their callers sent together has begun to be answered; returns whether a request is sent at some
+/// time in the next ten seconds.
+fn is_served_after_staggered_crashes(gap_ms: Millis, was_answered: bool) -> bool {
+    let mut fleet: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
+    let exchange = |fleet: &mut Vec<Quarantine>, now: Millis| {
+        let reports: Vec<CrashReport> = fleet.iter_mut().map(|q| q.report(now)).collect();
+        for (from, report) in reports.iter().enumerate() {
+            for (to, quarantine) in fleet.iter_mut().enumerate() {
+                if from != to {
+                    quarantine.merge(report, now);
+                }
+            }
+        }
+    };
+    let own = |n: u32| PromptPart(2_000 + n);
+    let mut now = 1_000.0;
+    if was_answered {
+        for (i, quarantine) in fleet.iter_mut().enumerate() {
+            quarantine.record_answer(&[COMMON, own(i as u32)], Reach::Complete, now);
+        }
+    }
+    now = 5_000.0;
+    for process in 0..6 {
+        for n in 0..12 {
+            let quarantine = &mut fleet[n % 3];
+            let parts = [COMMON, own(100 + 12 * process + n as u32)];
+            quarantine.record_crash(ProcessId(process), &parts, false, now);
+        }
+        exchange(&mut fleet, now);
+        now += gap_ms;
+    }
+    // The endpoints are back after two seconds.
+    let until = now + 10_000.0;
+    now += 2_000.0;
+    while now < until {
+        exchange(&mut fleet, now);
+        for (i, quarantine) in fleet.iter_mut().enumerate() {
+            let parts = [COMMON, own(500 + i as u32)];
+            if quarantine.blocked(&parts, false, now).is_none()
+                || quarantine.begin_probe(&parts, now, |part| part.0 as usize % 3 == i)
+            {
+                quarantine.record_answer(&parts, Reach::Complete, now);
+                return true;
+            }
+        }
+        now += 100.0;
+    }
+    false
+}
+
+/// Guards against a sound part that stays blocked as no answer can acquit it.
+#[test]
+fn a_sound_part_is_tried_again_after_endpoints_ended_one_after_the_other() {
+    for gap_ms in [60.0, 100.0, 150.0, 200.0, 250.0, 350.0] {
+        assert!(is_served_after_staggered_crashes(gap_ms, true), "{gap_ms} ms");
+    }
+}
+
+/// Guards against a rare part that is blamed for crashes of endpoints that end anyway.
+#[test]
+fn a_rare_part_is_not_blamed_for_some_of_many_crashes() {
+    let mut quarantine = Quarantine::default();
+    for process in 0..6 {
+        let now = 100.0 * f64::from(process);
+        let other = PromptPart(50 + process);
+        quarantine.record_crash(ProcessId(process), &[other], false, now);
+        if process % 2 == 0 {
+            quarantine.record_crash(ProcessId(process), &[COMMON, other], false, now);
+        }
+    }
+    assert_eq!(quarantine.blocked(&[COMMON], false, 600.0), None);
+}
+
 /// Guards against an answer that is taken for complete since it ended with its connection, when its
 /// endpoint crashed at that moment.
 #[test]
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -160,6 +160,8 @@
     standing: Standing,
     shared_parts: SharedParts,
     is_retry: bool,
+    /// Whether it tries a blocked part of its prompt.
+    is_probe: bool,
     /// The process to which the request was sent, and when.
     sent: Option<(ProcessId, f64)>,
     reply: Option<oneshot::Sender<Result<Grant, Refused>>>,
@@ -396,8 +398,11 @@
 
     fn place(&mut self, request: PlacementRequest, reply: oneshot::Sender<Result<Grant, Refused>>) {
         let now = self.now();
-        let standing = match self.admit(&request, now) {
-            Ok(standing) => standing,
+        let admitted = self
+            .check_parts(&request, now)
+            .and_then(|is_probe| Ok((is_probe, self.admit(&request, now)?)));
+        let (is_probe, standing) = match admitted {
+            Ok(admitted) => admitted,
             Err(refused) => {
                 let _ = reply.send(Err(refused));
                 return;
@@ -437,6 +442,7 @@
                 standing,
                 shared_parts,
                 is_retry,
+                is_probe,
                 sent: None,
                 reply: Some(reply),
                 endpoint: None,
@@ -450,13 +456,22 @@
         }
     }
 
-    /// Refuses a request that would crash endpoints; charges a first attempt to the quota and a
-    /// retry to the retry budget.
-    fn admit(&mut self, request: &PlacementRequest, now: f64) -> Result<Standing, Refused> {
+    /// Refuses a request that would crash endpoints; returns whether it tries a blocked part.
+    fn check_parts(&mut self, request: &PlacementRequest, now: f64) -> Result<bool, Refused> {
         let parts = &request.shared_parts.0;
-        if let Some(block) = self.quarantine.blocked(parts, request.is_retry, now) {
+        let Some(block) = self.quarantine.blocked(parts, request.is_retry, now) else {
+            return Ok(false);
+        };
+        let is_chosen = |part: PromptPart| self.senders.is_chosen(part.0);
+        if request.is_retry || !self.quarantine.begin_probe(parts, now, is_chosen) {
             return Err(Refused::Quarantined(block));
         }
+        self.log_part(Level::Info, "prompt_part_tried", block.part);
+        Ok(true)
+    }
+
+    /// Charges a first attempt to the quota and a retry to the retry budget.
+    fn admit(&mut self, request: &PlacementRequest, now: f64) -> Result<Standing, Refused> {
         let instances = self.fleet.known_instances();
         let budget = self.budget;
         let is_interactive = self.configuration.is_interactive();
@@ -576,7 +591,7 @@
 
     fn grant(&mut self, ticket: Ticket, mut grant: Option<Grant>, core: &CoreKey) {
         let now = self.now();
-        if let Some(request) = self.requests.get(&ticket)
+        if let Some(request) = self.requests.get(&ticket).filter(|request| !request.is_probe)
             && let Some(block) =
                 self.quarantine.blocked(&request.shared_parts.0, request.is_retry, now)
         {
