decide: an answer that begins does not clear the failures of its endpoint

Change: the beginning closes the breaker, and failures count on until an answer is complete. The endpoints of an interactive pool that all fail are told by complete answers, too.

Evidence: breaker::answers_that_begin_and_break_off_open_the_breaker; with the former reset the third failure would be the first again.

--- a/crates/decide/src/breaker.rs
+++ b/crates/decide/src/breaker.rs
@@ -11,7 +11,8 @@
 const INITIAL_OPEN_MS: Millis = 1_000.0;
 const MAX_OPEN_MS: Millis = 30_000.0;
 
-/// Opens on consecutive failures or on silence, and lets one probe through before it closes.
+/// Opens on failures without a complete answer in between or on silence, and lets one probe through
+/// before it closes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Breaker {
     consecutive_failures: u32,
@@ -53,7 +54,13 @@
         self.is_probing = self.is_open();
     }
 
-    /// Closes the breaker because the endpoint answered.
+    /// Closes the breaker because the endpoint began to answer. That does not show that it can
+    /// answer to the end, so earlier failures still count.
+    pub(crate) fn record_start(&mut self) {
+        *self = Self { consecutive_failures: self.consecutive_failures, ..Self::new() };
+    }
+
+    /// Closes the breaker because the endpoint answered to the end.
     pub(crate) fn record_success(&mut self) {
         *self = Self::new();
     }
@@ -100,6 +107,25 @@
         assert!(breaker.allows(1000.0));
     }
 
+    /// Guards against an endpoint that begins each answer and completes none.
+    #[test]
+    fn answers_that_begin_and_break_off_open_the_breaker() {
+        let mut breaker = Breaker::new();
+        for number in 0..3 {
+            breaker.record_start();
+            assert_eq!(breaker.record_failure(0.0), number == 2);
+        }
+        assert!(!breaker.allows(999.0) && breaker.allows(1000.0));
+        breaker.record_sent();
+        breaker.record_start();
+        assert!(breaker.allows(1000.0));
+        assert!(breaker.record_failure(1000.0));
+        breaker.record_sent();
+        breaker.record_start();
+        breaker.record_success();
+        assert!(!breaker.record_failure(3000.0));
+    }
+
     #[test]
     fn each_failed_probe_doubles_the_open_interval() {
         let mut breaker = Breaker::new();
--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -382,7 +382,7 @@
         self.finish_prefill(sent);
         self.awaited_first_tokens -= u32::from(sent.reports_first_token);
         self.last_progress_at = now;
-        self.breaker.record_success();
+        self.breaker.record_start();
         let elapsed_ms = now - sent.sent_at;
         self.limit.observe_first_token(now, sent.expected_ms, elapsed_ms, self.in_flight);
         self.learn_first_token(sent, elapsed_ms);
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -309,7 +309,6 @@
                     self.quarantine.record_start(process, sent_at, now);
                 }
                 self.record_first_event(ticket, now);
-                self.record_endpoint_result(ticket, true, now);
                 self.notify_request_pool(ticket, Event::FirstToken(ticket))
             }
             SchedulerMessage::AnswerProceeded(ticket, reach) => {
