gateway: a caller's time left may be any number

Cause: the header was read as a whole number, and anything else as no header.

Change: decimals are taken, a negative time is none left, and one that is too large is the largest. headers::time_left_may_be_any_number failed before for 1500.0 by the reading above (not run on the former code).

--- a/crates/gateway/src/caller/admission.rs
+++ b/crates/gateway/src/caller/admission.rs
@@ -130,8 +130,7 @@
         return Err(reject(StatusCode::SERVICE_UNAVAILABLE, "the route has no pool"));
     };
     let timeout = Duration::from_millis(route.timeout_ms);
-    let caller_timeout =
-        headers::number(&parts.headers, &cx.header_names.time_left).map(Duration::from_millis);
+    let caller_timeout = headers::millis(&parts.headers, &cx.header_names.time_left);
     let prompt = match route.semantics {
         Semantics::Stream => {
             let engine = cx.knowledge.configuration().engine(&target.pool);
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -2,6 +2,8 @@
 //!
 //! A header that is missing or malformed reads as `None`, never as an error.
 
+use std::time::Duration;
+
 use baobabvane_decide::SelfReport;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
@@ -79,6 +81,13 @@
     headers.get(name)?.to_str().ok().map(str::trim)
 }
 
+/// Returns a header's value as a duration in milliseconds; a negative one is zero, and one that is too
+/// large the largest.
+pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let millis: f64 = text(headers, name)?.parse().ok().filter(|ms: &f64| !ms.is_nan())?;
+    Some(Duration::try_from_secs_f64(millis.max(0.0) / 1_000.0).unwrap_or(Duration::MAX))
+}
+
 /// Returns a header's value as a number of things; one that is too large is the largest.
 pub(crate) fn count(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     parse_count(text(headers, name)?)
@@ -167,6 +176,27 @@
         }
     }
 
+    /// Guards against a caller's time that is not a whole number and counts as none, so that endpoints
+    /// are given the route's timeout.
+    #[test]
+    fn time_left_may_be_any_number() {
+        let name = HeaderNames::default().time_left;
+        let mut headers = HeaderMap::new();
+        for (value, ms) in [
+            ("1500", Some(1_500)),
+            ("1500.0", Some(1_500)),
+            ("1499.5", Some(1_499)),
+            ("-3", Some(0)),
+            ("soon", None),
+            ("nan", None),
+        ] {
+            headers.insert(&name, HeaderValue::from_static(value));
+            assert_eq!(millis(&headers, &name).map(|d| d.as_millis()), ms, "{value}");
+        }
+        headers.insert(&name, HeaderValue::from_static("1e300"));
+        assert_eq!(millis(&headers, &name), Some(Duration::MAX));
+    }
+
     #[test]
     fn a_rate_limit_is_a_non_negative_decimal_number() {
         let names = HeaderNames::default();
