gateway: numbers of heartbeats are finite

An infinite use of a quota, demand, rate limit or speed would stay in every sum that it gets into. Such a heartbeat is malformed now (heartbeat::heartbeat_with_a_number_that_is_not_finite_is_malformed).

--- a/crates/decide/src/capacity.rs
+++ b/crates/decide/src/capacity.rs
@@ -71,6 +71,20 @@
 }
 
 impl SpeedSums {
+    /// Returns all numbers, to check them.
+    pub fn numbers(&self) -> [f32; 8] {
+        [
+            self.streams,
+            self.in_flight,
+            self.in_flight_squared,
+            self.decode_ms,
+            self.in_flight_decode_ms,
+            self.gap_ratio,
+            self.prefill_tokens,
+            self.prefill_ms,
+        ]
+    }
+
     fn values_mut(&mut self) -> [&mut f32; 8] {
         [
             &mut self.streams,
--- a/crates/gateway/src/peer/heartbeat.rs
+++ b/crates/gateway/src/peer/heartbeat.rs
@@ -63,16 +63,68 @@
 
     /// Decodes a heartbeat of either form.
     pub(super) fn decode(bytes: &[u8], key: &SharedKey) -> Result<Self, MessageError> {
-        match compact::is_compact(bytes) {
-            true => compact::decode(bytes, key),
-            false => decode_authenticated(bytes, key),
+        let heartbeat: Self = match compact::is_compact(bytes) {
+            true => compact::decode(bytes, key)?,
+            false => decode_authenticated(bytes, key)?,
+        };
+        match has_finite_numbers(&heartbeat.local) {
+            true => Ok(heartbeat),
+            false => Err(MessageError::Malformed),
         }
     }
 }
 
+/// Returns whether no number in a state is infinite or none at all, which sums of them could not get
+/// rid of.
+fn has_finite_numbers(local: &LocalState) -> bool {
+    let totals = local
+        .quota_totals
+        .iter()
+        .flat_map(|t| [t.admitted, t.admitted_before, t.offered, t.offered_before]);
+    let zone_use = local.zone_use.iter().flat_map(|used| {
+        let rates = used.rates.map_or([0.0; 4], |rates| rates.numbers());
+        rates.map(f64::from).into_iter().chain([used.units])
+    });
+    let limits = local.rate_limits.iter().filter_map(|limit| limit.per_s).map(f64::from);
+    let speeds = local.endpoint_speeds.iter().flat_map(|speed| speed.sums.numbers());
+    let demand = [f64::from(local.demand_per_s)];
+    totals
+        .chain(zone_use)
+        .chain(limits)
+        .chain(speeds.map(f64::from))
+        .chain(demand)
+        .all(f64::is_finite)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::quota::QuotaTotals;
+
+    /// Guards against a number that makes every sum it gets into useless.
+    #[test]
+    fn heartbeat_with_a_number_that_is_not_finite_is_malformed() {
+        let key = SharedKey::new("a");
+        let decode = |units| {
+            let totals = QuotaTotals { admitted: units, ..QuotaTotals::default() };
+            let heartbeat = Heartbeat {
+                from: ([127, 0, 0, 1], 7600).into(),
+                zone: 5,
+                incarnation: 7,
+                counter: 1,
+                is_leaving: false,
+                freshness: Freshness::default(),
+                local: LocalState { quota_totals: vec![totals], ..LocalState::default() },
+                heard_peers: vec![],
+                store_readers: vec![],
+            };
+            Heartbeat::decode(&heartbeat.encode(&key), &key).map(|_| ())
+        };
+        assert_eq!(decode(3.0), Ok(()));
+        for units in [f64::NAN, f64::INFINITY] {
+            assert_eq!(decode(units), Err(MessageError::Malformed), "{units}");
+        }
+    }
 
     #[test]
     fn heartbeat_needs_the_fleet_key() {
--- a/crates/gateway/src/quota/pace.rs
+++ b/crates/gateway/src/quota/pace.rs
@@ -78,6 +78,13 @@
     pub(crate) known_share: f32,
 }
 
+impl QuotaRates {
+    /// Returns all numbers, to check them.
+    pub(crate) fn numbers(&self) -> [f32; 4] {
+        [self.offered, self.admitted, self.expiring, self.known_share]
+    }
+}
+
 /// A rate in which the weight of units decays with their age.
 #[derive(Clone, Copy, Debug)]
 struct DecayedRate {
