gateway: what an endpoint states of itself is bounded where it is decoded

Cause: Keep-Alive was added to the time as stated, and a rate limit to the requests in flight.

Evidence: answers::any_number_that_an_endpoint_states_of_itself_is_borne failed before: 'overflow when adding duration to instant' in the task of the request.

--- a/crates/decide/src/endpoint.rs
+++ b/crates/decide/src/endpoint.rs
@@ -204,7 +204,7 @@
             return self.in_flight;
         }
         if let Some(bucket) = &self.rate_bucket {
-            return self.slots.min(self.in_flight + bucket.available(now));
+            return self.slots.min(self.in_flight.saturating_add(bucket.available(now)));
         }
         let limit = self.shared_limit();
         let age = now - self.foreign_as_of;
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -66,6 +66,9 @@
 /// The longest time for which an endpoint may turn requests away, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 3_600.0;
 
+/// The largest rate limit that is told apart, far more than an endpoint takes.
+const MAX_RATE_LIMIT_PER_S: f64 = 1_000_000.0;
+
 /// Request header with the id of the event after which a stream is resumed.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -112,7 +115,8 @@
     SelfReport {
         retry_after_ms: retry_after_s.map(|s| s.min(MAX_RETRY_AFTER_S) * 1_000.0),
         outstanding_requests: outstanding_requests(headers, &names.load),
-        rate_limit_per_s: decimal(headers, &names.rate_limit),
+        rate_limit_per_s: decimal(headers, &names.rate_limit)
+            .map(|limit| limit.min(MAX_RATE_LIMIT_PER_S)),
         is_leaving: text(headers, &names.leaving) == Some("1"),
         slowdown_percent: slowdown_percent(headers, &names.load),
     }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -27,6 +27,8 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.5;
 /// Idle timeout assumed for an endpoint that advertises none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// The longest idle timeout of an endpoint that is told apart.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Most idle connections kept for one endpoint; the oldest is closed first.
 const MAX_IDLE_PER_ENDPOINT: usize = 4;
 
@@ -183,5 +185,6 @@
 fn advertised_idle_timeout(head: &HeaderMap) -> Option<Duration> {
     let keep_alive = headers::text(head, &http::HeaderName::from_static("keep-alive"))?;
     let seconds = keep_alive.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let seconds = headers::parse_count(seconds.trim())?;
+    Some(Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
--- a/crates/gateway/tests/testsuite/answers.rs
+++ b/crates/gateway/tests/testsuite/answers.rs
@@ -154,3 +154,32 @@
         }
     }
 }
+
+/// Guards against numbers that an endpoint states about itself and that no sum or clock can hold: the
+/// request's task, or the scheduler, ended (LOST).
+#[test]
+fn any_number_that_an_endpoint_states_of_itself_is_borne() {
+    for line in [
+        "keep-alive: timeout=18446744073709551615",
+        "keep-alive: timeout=9223372036854775808",
+        "baobabvane-rate-limit: 1e300",
+        "baobabvane-rate-limit: 4294967295",
+        "baobabvane-load: 4294967295,4294967295,4294967295,4294967295",
+        "retry-after: 1e300",
+    ] {
+        block_on(async {
+            let start = format!(
+                "HTTP/1.1 200 OK\r\nbaobabvane-request-id: {{id}}\r\nbaobabvane-signature: s\r\n\
+                 {line}\r\ncontent-length: 4\r\n\r\ndone"
+            );
+            let wait = Duration::from_millis(100);
+            let endpoint = EarlyAnswer::spawn("e1", "desk", &start, 4, wait);
+            let gateway = start_gateway(&endpoint).await;
+            for _ in 0..3 {
+                let answer = upload(&gateway, "/postings/", 4).await;
+                assert!(answer.is_some_and(|a| a.status == StatusCode::OK), "{line}");
+                monoio::time::sleep(2 * wait).await;
+            }
+        });
+    }
+}
