--- a/crates/decide/src/self_report.rs
+++ b/crates/decide/src/self_report.rs
@@ -124,7 +124,7 @@
             return false;
         }
         let has_changed = per_s != known.per_s;
-        let generation = known.generation + u32::from(has_changed);
+        let generation = known.generation.saturating_add(u32::from(has_changed));
         let changed_at = if has_changed { now } else { known.changed_at };
         let limit = RateLimit { per_s, generation, changed_at, named_at: now };
         self.rate_limits.insert(endpoint, limit);
