quarantine: heartbeats leave out crashes that the reported proof refutes

Requests that lose their endpoint in the middle of an answer are suspects now, so that common parts have many crashes that do not count. Their ages took the larger part of a report.

--- a/crates/decide/src/quarantine/report.rs
+++ b/crates/decide/src/quarantine/report.rs
@@ -115,15 +115,18 @@
         let mut report = CrashReport::default();
         for part in reported {
             let suspect = &self.suspects[&part];
-            let proof = self.proofs.get(&part);
-            let age_of = |at: Option<Millis>| at.filter(|at| at.is_finite()).map(age);
+            let proof = self.proofs.get(&part).copied().unwrap_or(Proof::NONE);
+            let age_of = |at: Millis| at.is_finite().then(|| age(at));
+            // The ages of the proof refute the others wherever they are known.
+            let counted = suspect
+                .crashes
+                .iter()
+                .filter(|crash| crash.at > proof.refutes_until(crash.has_lasted));
             report.evidence.push(Evidence {
                 part,
-                lasting_age_ms: age_of(proof.map(|proof| proof.lasting_at)),
-                complete_age_ms: age_of(proof.map(|proof| proof.complete_at)),
-                crashes: suspect
-                    .crashes
-                    .iter()
+                lasting_age_ms: age_of(proof.lasting_at),
+                complete_age_ms: age_of(proof.complete_at),
+                crashes: counted
                     .map(|crash| ReportedCrash {
                         process: crash.process,
                         age_ms: age(crash.at),
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -714,8 +714,8 @@
     }
 
     fn log_blocked_parts(&mut self) {
-        let mut blocked: Vec<PromptPart> =
-            self.quarantine.blocked_parts(self.start.elapsed().as_secs_f64() * 1_000.0).collect();
+        let now = self.now();
+        let mut blocked: Vec<PromptPart> = self.quarantine.blocked_parts(now).collect();
         blocked.sort_unstable();
         if blocked == self.logged_blocked_parts {
             return;
