--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -309,6 +309,8 @@
                     self.quarantine.record_start(process, sent_at, now);
                 }
                 self.record_first_event(ticket, now);
+                // A resumed stream gets on with each answer that begins.
+                self.record_endpoint_result(ticket, true, now);
                 self.notify_request_pool(ticket, Event::FirstToken(ticket))
             }
             SchedulerMessage::AnswerProceeded(ticket, reach) => {
