--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -300,6 +300,11 @@
         blocked.flat_map(|verdict| verdict.parts.iter().copied())
     }
 
+    /// Returns when answers with a part were last found to be sound.
+    fn proof(&self, part: PromptPart) -> Proof {
+        self.proofs.get(&part).copied().unwrap_or(Proof::NONE)
+    }
+
     /// Records a proof and returns whether it may change a verdict.
     fn add_proof(&mut self, part: PromptPart, proof: Proof, now: Millis) -> bool {
         let known = self.proofs.entry(part).or_insert(Proof::NONE);
--- a/crates/decide/src/quarantine/probe.rs
+++ b/crates/decide/src/quarantine/probe.rs
@@ -1,6 +1,6 @@
 //! Requests that try a block that may be wrong.
 
-use super::{Proof, Quarantine};
+use super::Quarantine;
 use crate::{Millis, PromptPart};
 
 /// The time after the last crash, when endpoints are back, from which on one request tries whether a
@@ -30,7 +30,7 @@
     /// end for another reason do.
     fn is_burst(&self, part: PromptPart) -> bool {
         let Some(suspect) = self.suspects.get(&part) else { return false };
-        let proof = self.proofs.get(&part).copied().unwrap_or(Proof::NONE);
+        let proof = self.proof(part);
         let counted = suspect.crashes.iter().filter(|crash| {
             crash.at > proof.refutes_until(crash.has_lasted) && !self.is_refuted_by_work(crash)
         });
--- a/crates/decide/src/quarantine/report.rs
+++ b/crates/decide/src/quarantine/report.rs
@@ -64,7 +64,7 @@
             };
             let told =
                 Proof { lasting_at: at(e.lasting_age_ms), complete_at: at(e.complete_age_ms) };
-            let known = self.proofs.get(&e.part).copied().unwrap_or(Proof::NONE);
+            let known = self.proof(e.part);
             if is_later(told.lasting_at, Some(&known.lasting_at))
                 || is_later(told.complete_at, Some(&known.complete_at))
             {
@@ -115,7 +115,7 @@
         let mut report = CrashReport::default();
         for part in reported {
             let suspect = &self.suspects[&part];
-            let proof = self.proofs.get(&part).copied().unwrap_or(Proof::NONE);
+            let proof = self.proof(part);
             let age_of = |at: Millis| at.is_finite().then(|| age(at));
             // The ages of the proof refute the others wherever they are known.
             let counted = suspect
--- a/crates/decide/src/quarantine/verdict.rs
+++ b/crates/decide/src/quarantine/verdict.rs
@@ -3,7 +3,7 @@
 use rustc_hash::FxHashSet;
 use smallvec::SmallVec;
 
-use super::{Crash, ProcessId, Proof, Quarantine, is_later};
+use super::{Crash, ProcessId, Quarantine, is_later};
 use crate::{Millis, PromptPart};
 
 /// What a crash counts for that came before the answer had lasted.
@@ -200,7 +200,7 @@
     /// Counts the crashes that no answer with the part refutes, that are not explained and whose
     /// endpoint does not work after all.
     pub(super) fn count(&self, part: PromptPart, explained: &FxHashSet<ProcessId>) -> CrashCount {
-        let proof = self.proofs.get(&part).copied().unwrap_or(Proof::NONE);
+        let proof = self.proof(part);
         let mut count = CrashCount {
             crashes: 0,
             points: 0,
