--- a/review/support-3/kit.rs
+++ b/review/support-3/kit.rs
@@ -266,6 +266,15 @@
         lock(&self.state).topics.entry(topic.to_owned()).or_default().records.push(record);
     }
 
+    /// Returns the newest value of a key.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<String> {
+        let state = lock(&self.state);
+        let records = state.topics.get(topic)?.records.iter().rev();
+        let mut values = records.filter_map(|record| split_record(record));
+        let (_, value) = values.find(|(found, _)| *found == key.as_bytes())?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     /// While the store is away, it closes connections without an answer.
     pub fn set_away(&self, is_away: bool) {
         lock(&self.state).is_away = is_away;
