--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -63,13 +63,14 @@
             thread::sleep(ENGINE_WORK);
             let now = unix_ms();
             let number = count.fetch_add(1, Ordering::Relaxed);
-            let is_bad = is_new
-                && now >= bad_from.load(Ordering::Relaxed)
-                && number % 10 < BAD_IN_TEN;
+            let is_bad =
+                is_new && now >= bad_from.load(Ordering::Relaxed) && number % 10 < BAD_IN_TEN;
             lock(&seen).requests.push((now, is_new, is_bad));
             let id = req.header("x-baobabvane-attempt-id").unwrap_or("").to_owned();
-            let headers =
-                [("X-Baobabvane-Attempt-Id", id.as_str()), ("X-Baobabvane-Response-Signature", "s")];
+            let headers = [
+                ("X-Baobabvane-Attempt-Id", id.as_str()),
+                ("X-Baobabvane-Response-Signature", "s"),
+            ];
             let answer = match is_bad {
                 true => response(500, &headers, b"failed"),
                 false => response(200, &headers, b"done"),
@@ -165,7 +166,9 @@
         thread::sleep(Duration::from_millis(20));
         let text = store.newest_value("keyed.status", &format!("rollout/{SERVICE}"));
         let Some(state) = text.as_deref().and_then(|t| {
-            ["serving", "completed", "reverted"].into_iter().find(|s| t.contains(&format!("\"{s}\"")))
+            ["serving", "completed", "reverted"]
+                .into_iter()
+                .find(|s| t.contains(&format!("\"{s}\"")))
         }) else {
             continue;
         };
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,6 +6,6 @@
 for source in review/1[1-5]/case.rs; do
     if [ -e "$source" ]; then
         case=$(basename "$(dirname "$source")")
-        rustc -O --edition 2021 "$source" -o "target/review-3/case-$case"
+        rustc -O --edition 2024 "$source" -o "target/review-3/case-$case"
     fi
 done
--- a/review/support-3/kit.rs
+++ b/review/support-3/kit.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     fs,
     io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
@@ -12,7 +12,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -49,10 +49,6 @@
         let line = format!("{:8.3} {}\n", self.began.elapsed().as_secs_f64(), text.as_ref());
         let _ = lock(&self.file).write_all(line.as_bytes());
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.began.elapsed().as_secs_f64()
-    }
 }
 
 pub fn unix_ms() -> u64 {
@@ -181,11 +177,6 @@
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
-
-    /// Returns whether bytes were read that belong to no message yet.
-    pub fn has_buffered(&self) -> bool {
-        !self.buf.is_empty()
-    }
 }
 
 /// Returns a response with a length.
@@ -235,12 +226,10 @@
     records: Vec<Vec<u8>>,
 }
 
-/// Contents of the store, and whether it is away.
+/// Contents of the store.
 #[derive(Default)]
 pub struct StoreState {
     topics: HashMap<String, Topic>,
-    era: u64,
-    is_away: bool,
 }
 
 /// The platform's store, as the page on the protocol tells.
@@ -274,28 +263,8 @@
         let (_, value) = values.find(|(found, _)| *found == key.as_bytes())?;
         Some(String::from_utf8_lossy(value).into_owned())
     }
-
-    /// While the store is away, it closes connections without an answer.
-    pub fn set_away(&self, is_away: bool) {
-        lock(&self.state).is_away = is_away;
-    }
-
-    /// Returns a copy of the contents, for [`Store::restore`].
-    pub fn copy(&self) -> StoreCopy {
-        StoreCopy(lock(&self.state).topics.clone())
-    }
-
-    /// Comes back from a copy in the next era.
-    pub fn restore(&self, copy: StoreCopy) {
-        let mut state = lock(&self.state);
-        state.topics = copy.0;
-        state.era += 1;
-        state.is_away = false;
-    }
 }
 
-pub struct StoreCopy(HashMap<String, Topic>);
-
 fn split_record(record: &[u8]) -> Option<(&[u8], &[u8])> {
     let (len, rest) = record.split_first()?;
     rest.split_at_checked(usize::from(*len))
@@ -308,49 +277,77 @@
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
         let name = query.get("topicName").copied().unwrap_or("").to_owned();
         let number = |key: &str| query.get(key).and_then(|v| v.parse::<usize>().ok());
-        if lock(state).is_away {
-            return;
-        }
         let (status, body) = match path {
-            "/log-newest" => (200, newest(&lock(state).topics.entry(name).or_default().records)),
+            "/log-newest" => {
+                let after = query.get("after").map(|key| percent_decode(key));
+                let mut state = lock(state);
+                (200, newest(&state.topics.entry(name).or_default().records, after.as_deref()))
+            }
             "/log-append" => append(state, &name, number("at"), &req.body),
             "/log-read" => {
                 let wait = Duration::from_millis(number("waitTimeoutMs").unwrap_or(0) as u64);
                 let limit = number("fetchLimit").unwrap_or(1_024);
-                match read(state, &name, number("from").unwrap_or(0), limit, wait) {
-                    Some(answer) => answer,
-                    None => return,
-                }
+                read(state, &name, number("from").unwrap_or(0), limit, wait)
             }
             _ => (404, Vec::new()),
         };
-        let era = lock(state).era.to_string();
-        if conn.write(&response(status, &[("Store-Era", &era)], &body)).is_err() {
+        if conn.write(&response(status, &[("Store-Era", "0")], &body)).is_err() {
             return;
         }
     }
 }
 
-fn newest(records: &[Vec<u8>]) -> Vec<u8> {
+/// A page has at most so many records, or so many bytes of them.
+const MAX_PAGE_RECORDS: usize = 500;
+const MAX_PAGE_BYTES: usize = 1_000_000;
+
+fn newest(records: &[Vec<u8>], after: Option<&[u8]>) -> Vec<u8> {
     let mut newest: BTreeMap<&[u8], (&[u8], usize)> = BTreeMap::new();
     for (offset, record) in records.iter().enumerate() {
         if let Some((key, value)) = split_record(record) {
             newest.insert(key, (value, offset));
         }
     }
-    let entries: Vec<String> = newest
-        .iter()
-        .filter(|(_, (value, _))| !value.is_empty())
-        .map(|(key, (value, offset))| {
-            let key = String::from_utf8_lossy(key);
-            format!(r#"{{"key":"{key}","value":"{}","logOffset":{offset}}}"#, base64(value))
-        })
-        .collect();
-    let end = records.len();
-    format!(r#"{{"entries":[{}],"hasMore":false,"endOffset":{end}}}"#, entries.join(","))
+    newest.retain(|key, (value, _)| !value.is_empty() && after.is_none_or(|after| *key > after));
+    let (mut entries, mut bytes) = (Vec::new(), 0);
+    for (key, (value, offset)) in &newest {
+        let key = String::from_utf8_lossy(key);
+        let entry =
+            format!(r#"{{"key":"{key}","value":"{}","logOffset":{offset}}}"#, base64(value));
+        if entries.len() == MAX_PAGE_RECORDS
+            || !entries.is_empty() && bytes + entry.len() > MAX_PAGE_BYTES
+        {
+            break;
+        }
+        bytes += entry.len();
+        entries.push(entry);
+    }
+    let (end, has_more) = (records.len(), entries.len() < newest.len());
+    format!(r#"{{"entries":[{}],"hasMore":{has_more},"endOffset":{end}}}"#, entries.join(","))
         .into_bytes()
 }
 
+fn percent_decode(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let code = after
+            .get(..2)
+            .and_then(|hex| u8::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok());
+        match (first, code) {
+            (b'%', Some(code)) => {
+                bytes.push(code);
+                rest = &after[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    bytes
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
@@ -388,24 +385,20 @@
     (200, body.into_bytes())
 }
 
-/// Returns `None` when the store goes away meanwhile.
 fn read(
     state: &Mutex<StoreState>,
     name: &str,
     from: usize,
     limit: usize,
     wait: Duration,
-) -> Option<(u16, Vec<u8>)> {
+) -> (u16, Vec<u8>) {
     let deadline = Instant::now() + wait;
     loop {
         {
             let mut state = lock(state);
-            if state.is_away {
-                return None;
-            }
             let topic = state.topics.entry(name.to_owned()).or_default();
             if from > topic.records.len() {
-                return Some((410, br#"{"startOffset":0}"#.to_vec()));
+                return (410, br#"{"startOffset":0}"#.to_vec());
             }
             if topic.records.len() > from || Instant::now() >= deadline {
                 let mut body = (topic.records.len() as u64).to_be_bytes().to_vec();
@@ -414,7 +407,7 @@
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
                 }
-                return Some((200, body));
+                return (200, body);
             }
         }
         thread::sleep(Duration::from_millis(5));
@@ -470,10 +463,6 @@
         Self { name, frontend, ready, settings, log, metrics_port, child }
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Returns how the process ended, if it has.
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
@@ -490,12 +479,6 @@
         self.child = spawn(&self.settings, &self.log, self.metrics_port);
     }
 
-    /// Sends a signal with the command that the system has for it.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
-    }
-
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
@@ -582,7 +565,15 @@
 }
 
 /// Returns an engine's entry.
-pub fn entry(service: &str, address: SocketAddr, zone: &str, slots: u32, state: &str, born: u64, sequence: u64) -> String {
+pub fn entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    state: &str,
+    born: u64,
+    sequence: u64,
+) -> String {
     format!(
         r#"{{"service":"{service}","address":"{address}","availabilityZone":"{zone}","version":"v1",
         "slotCount":{slots},"lifecycleState":"{state}","coldRemainingMs":0,"sequenceNumber":{sequence},"born":{born}}}"#
@@ -597,7 +588,14 @@
 }
 
 /// Returns the head and the body of a request.
-pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, more: &str, body: &[u8]) -> Vec<u8> {
+pub fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    more: &str,
+    body: &[u8],
+) -> Vec<u8> {
     let mut text = format!(
         "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Baobabvane-Attempt-Id: {id}\r\n\
          X-Baobabvane-Deadline-Remaining: {deadline_ms}\r\nAuthorization: Bearer k1\r\n{more}"
@@ -620,60 +618,3 @@
     conn.write(bytes)?;
     conn.read_message()?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
-
-/// A flag that threads share.
-#[derive(Clone, Default)]
-pub struct Flag(Arc<AtomicBool>);
-
-impl Flag {
-    pub fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-
-    pub fn is_set(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-/// What a process holds, as the platform counts it: its resident memory and the bytes that it has received
-/// and not read.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Held {
-    pub resident: u64,
-    pub unread: u64,
-}
-
-impl Held {
-    pub fn total(&self) -> u64 {
-        self.resident + self.unread
-    }
-}
-
-/// Returns what a process holds.
-pub fn held(pid: u32) -> Held {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let resident = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok())
-        .unwrap_or(0);
-    Held { resident: resident * 1024, unread: unread(pid) }
-}
-
-/// Returns the bytes that a process has received on its TCP sockets and not read, by the kernel's table.
-fn unread(pid: u32) -> u64 {
-    let Ok(descriptors) = fs::read_dir(format!("/proc/{pid}/fd")) else { return 0 };
-    let links = descriptors.flatten().filter_map(|entry| fs::read_link(entry.path()).ok());
-    let own: HashSet<String> = links
-        .filter_map(|link| Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
-        .collect();
-    let table = fs::read_to_string(format!("/proc/{pid}/net/tcp")).unwrap_or_default();
-    let rows = table.lines().skip(1).filter_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        // The state of listening sockets is 0A; their queue is that of waiting connections.
-        let is_own = fields.get(3) != Some(&"0A") && own.contains(*fields.get(9)?);
-        let queue = fields.get(4)?.split_once(':')?.1;
-        is_own.then(|| u64::from_str_radix(queue, 16).unwrap_or(0))
-    });
-    rows.sum()
-}
